--- a/internal/core/gate/reservations.go
+++ b/internal/core/gate/reservations.go
@@ -40,6 +40,10 @@
 }
 
 func (gate *Gate) reserve(now time.Duration, peer string, reserve message.Reserve) {
+	if reason, ok := gate.refusals.Get(reserve.ID); ok {
+		gate.answerRefused(now, peer, reserve.ID, reason)
+		return
+	}
 	if gate.knows(reserve.ID) {
 		return
 	}
@@ -76,9 +80,6 @@
 	if _, ok := gate.reservations.Get(id); ok {
 		return true
 	}
-	if _, ok := gate.refusals.Get(id); ok {
-		return true
-	}
 	_, ok := gate.findRun(id)
 	return ok
 }
@@ -119,9 +120,10 @@
 // admitKey asks the at-most-once table and says whether the request may wait.
 func (gate *Gate) admitKey(now time.Duration, row reservationRow) bool {
 	reserve := row.reserve
-	verdict, held := gate.keys.Admit(now, keyring.Query{
+	query := keyring.Query{
 		Run: reserve.ID, Class: reserve.Class, Key: reserve.Key, KeyBorn: reserve.KeyBorn, BodySum: reserve.BodySum,
-	})
+	}
+	verdict, held := gate.keys.Admit(now, query)
 	switch verdict {
 	case keyring.Admit:
 		return true
@@ -134,8 +136,9 @@
 	case keyring.Full:
 		gate.answerRefused(now, row.peer, reserve.ID, message.KeyTableFull)
 	case keyring.Unprovable:
-		end := message.End{ID: reserve.ID, Outcome: message.Unknown, Reason: message.KeyUnprovable}
-		gate.send(row.peer, end)
+		gate.send(row.peer, message.End{
+			ID: reserve.ID, Outcome: message.Unknown, Reason: message.KeyUnprovable, RetryAfter: gate.keys.ProvableIn(now, query),
+		})
 	}
 	return false
 }
--- a/internal/core/keyring/keyring.go
+++ b/internal/core/keyring/keyring.go
@@ -53,7 +53,8 @@
 	Conflict
 	// NotHome means that another upstream is the home of the key.
 	NotHome
-	// Unprovable means that the key may have run before our time.
+	// Unprovable means that the key may have run before our time, or so long
+	// ago that its row was forgotten.
 	Unprovable
 	// Full means that no further key can be remembered.
 	Full
@@ -180,15 +181,27 @@
 	return rendezvous.Top(query.Key[:], published.Serves(class)) == ring.settings.Name
 }
 
-// provable says whether the key cannot have run before since: either the whole
-// repeat window has passed, or the key carries a later time of birth.
+// provable says whether the key cannot have run before. A key that carries its
+// time of birth must be younger than our knowledge of it and than the repeat
+// window: its request may have lain in a paused process since. Of another key
+// nothing is known before the whole repeat window has passed.
 func (ring *Ring) provable(now, since time.Duration, born time.Time) bool {
-	if now-since >= ring.window {
-		return true
-	}
 	if born.IsZero() {
+		return now-since >= ring.window
+	}
+	if ring.wall(now).Sub(born) > ring.window-ring.settings.ClockSkew {
 		return false
 	}
-	known := ring.settings.BootWall.Add(since)
-	return born.After(known.Add(ring.settings.ClockSkew))
+	return now-since >= ring.window || born.After(ring.wall(since).Add(ring.settings.ClockSkew))
+}
+
+func (ring *Ring) wall(uptime time.Duration) time.Time {
+	return ring.settings.BootWall.Add(uptime)
+}
+
+// ProvableIn returns how long it takes until a key without a time of birth is
+// admitted here.
+func (ring *Ring) ProvableIn(now time.Duration, query Query) time.Duration {
+	since, _ := ring.homeSince(query)
+	return max(since+ring.window-now, 0)
 }
--- a/internal/core/router/answers.go
+++ b/internal/core/router/answers.go
@@ -54,6 +54,7 @@
 		router.retries.Succeeded()
 		router.finish(row, end.Outcome, end.Reason)
 	case end.Outcome == message.Unknown && row.guarded():
+		row.refusal.RetryAfter = end.RetryAfter
 		router.finish(row, message.Unknown, end.Reason)
 	default:
 		row.wasted += end.Chunks
--- a/internal/core/router/peers.go
+++ b/internal/core/router/peers.go
@@ -35,6 +35,7 @@
 	version   uint64
 	sentSince int
 	bound     int
+	failures  int
 }
 
 // WithHeard returns the row with a new time of the last message.
@@ -142,7 +143,7 @@
 	peer, _ := router.peers.Get(name)
 	peer.wanted = wanted
 	router.peers.Put(name, peer)
-	if wanted && peer.state == peerDown {
+	if wanted && peer.state == peerDown && peer.failures == 0 {
 		router.dialDue.Set(name, now)
 	}
 	if !wanted && peer.state == peerDown && peer.bound == 0 {
@@ -197,6 +198,7 @@
 		peer.leaving = peer.member.Leaving
 	}
 	peer.boot = opened.Boot
+	peer.failures = 0
 	router.peers.Put(opened.Peer, peer.WithState(peerUp).WithHeard(now))
 	router.beatDue = min(router.beatDue, now)
 	for _, id := range router.boundTo(opened.Peer) {
@@ -216,8 +218,7 @@
 	}
 	wasUp := peer.state == peerUp
 	router.peers.Put(closed.Peer, peer.WithState(peerDown))
-	jitter := time.Duration(router.settings.Random.Int64N(int64(router.settings.RedialAfter)))
-	router.dialDue.Set(closed.Peer, now+router.settings.RedialAfter/2+jitter)
+	router.dialDue.Set(closed.Peer, now+router.redialAfter(closed.Peer))
 	if !wasUp {
 		return
 	}
@@ -229,6 +230,16 @@
 	}
 }
 
+// redialAfter doubles the time between two attempts to dial, up to a bound, and
+// spreads it, so that a domain that comes back is not dialled by all at once.
+func (router *Router) redialAfter(name string) time.Duration {
+	peer, _ := router.peers.Get(name)
+	peer.failures = min(peer.failures+1, mostDoublings)
+	router.peers.Put(name, peer)
+	longest := router.settings.RedialAfter << (peer.failures - 1)
+	return longest/2 + time.Duration(router.settings.Random.Int64N(int64(longest)))
+}
+
 // boundTo returns the requests that may run at the sidecar.
 func (router *Router) boundTo(name string) []message.RequestID {
 	peer, _ := router.peers.Get(name)
--- a/internal/core/router/placing.go
+++ b/internal/core/router/placing.go
@@ -237,7 +237,7 @@
 		row = row.WithoutReserved(name)
 		router.requests.Put(id, row)
 		if len(row.reserved) == 0 {
-			router.place(now, row)
+			router.place(now, row.WithAttempt())
 		}
 	}
 }
--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -67,7 +67,7 @@
 	readyPeers     = 3
 	shortestReturn = time.Second
 	recallGrace    = 2 * time.Second
-	loadLifetime   = 4
+	mostDoublings  = 5
 )
 
 // New returns a router without peers or configuration.
--- a/internal/wire/message/message.go
+++ b/internal/wire/message/message.go
@@ -215,6 +215,8 @@
 	Outcome Outcome   `cbor:"3,keyasint"`
 	Reason  Reason    `cbor:"4,keyasint,omitempty"`
 	Crashed bool      `cbor:"5,keyasint,omitempty"`
+	// RetryAfter tells the caller of an unknown outcome when to come back.
+	RetryAfter time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Attach asks for the rest of an answer after a reconnect, from part Next on.
