Drive real processes through drain, kill, freeze and outage

Cases run seven to nine processes on loopback: SIGTERM to sidecars and entry in mid-stream, SIGKILL of a sidecar under a guarded run, SIGSTOP and SIGCONT of sidecars in mid-stream, the configuration service gone.

Failed first: metrics. tally's own gauges have names that Prometheus refuses, and each process logged four errors at start. Change: names are sanitised.

The stream resumed at another runner after a freeze equals the undisturbed one event for event; the killed guarded request ran once.

--- a/cmd/endivepost/main_test.go
+++ b/cmd/endivepost/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"endivepost/internal/command/verbs"
@@ -36,6 +38,7 @@
 		Files: files,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"ports": reservePorts, "expand": expandFiles, "await": awaitStatus, "signal": sendSignal,
+			"await-text": awaitText, "await-state": awaitState, "new-key": newKey, "fleet": writeFleet, "same-events": compareEvents,
 		},
 	})
 }
@@ -115,6 +118,85 @@
 	ts.Fatalf("%s never answered with status %d", arguments[0], wanted)
 }
 
+// awaitText polls a URL until its answer contains the text.
+func awaitText(ts *testscript.TestScript, _ bool, arguments []string) {
+	last := ""
+	for range 600 {
+		response, err := http.Get(arguments[0])
+		if err == nil {
+			body, _ := io.ReadAll(response.Body)
+			response.Body.Close()
+			last = string(body)
+			if strings.Contains(last, arguments[1]) {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("%s never contained %q, last was %q", arguments[0], arguments[1], last)
+}
+
+// awaitState waits until the entry sees the sidecar in a state and, if it is up,
+// with the document of version 1 in force.
+func awaitState(ts *testscript.TestScript, _ bool, arguments []string) {
+	text := fmt.Sprintf(`"name":%q,"domain":"a","state":%q`, arguments[0], arguments[1])
+	if arguments[1] == "up" {
+		text += `,"config-version":1`
+	}
+	awaitText(ts, false, []string{"http://" + ts.Getenv("ADMIN") + "/status", text})
+}
+
+// newKey sets a variable to a version 7 UUID.
+func newKey(ts *testscript.TestScript, _ bool, arguments []string) {
+	key, err := uuid.NewV7()
+	ts.Check(err)
+	ts.Setenv(arguments[0], key.String())
+}
+
+// compareEvents holds the events of two streamed answers against each other.
+func compareEvents(ts *testscript.TestScript, _ bool, files []string) {
+	first, second := eventsOf(ts.ReadFile(files[0])), eventsOf(ts.ReadFile(files[1]))
+	if len(first) == 0 || strings.Join(first, "\n") != strings.Join(second, "\n") {
+		ts.Fatalf("the streams differ: %d and %d events", len(first), len(second))
+	}
+}
+
+func eventsOf(text string) []string {
+	var events []string
+	for _, line := range strings.Split(text, "\n") {
+		if strings.HasPrefix(line, "data:") {
+			events = append(events, line)
+		}
+	}
+	return events
+}
+
+// fleetDocument is the class document of the failure cases.
+const fleetDocument = `{"version": 1, "repeat-window": "10m", "classes": [
+ {"name": "guide", "tier": 1, "model": "chat", "first-token": "900ms", "give-up-after": "20s"},
+ {"name": "hold", "tier": 1, "service": "booking", "whole-answer": "8s", "non-idempotent": true}],
+ "accounts": [{"name": "desk", "key-sha256": "%x", "default-class": "guide"}],
+ "upstreams": [{"name": "runner-1", "model": "chat"}, {"name": "runner-2", "model": "chat"}, {"name": "booking-1", "service": "booking"}]}`
+
+// writeFleet reserves ports and writes classes.json and vms.json for one entry,
+// two runners and a booking service.
+func writeFleet(ts *testscript.TestScript, _ bool, _ []string) {
+	reservePorts(ts, false, []string{
+		"PLATFORM", "ENTRY", "ADMIN", "RUNNER1", "ENGINE1", "RUNNER2", "ENGINE2", "BOOKING", "SERVICE",
+	})
+	ts.Setenv("ENDIVEPOST_SECRET", "a-shared-secret")
+	ts.Setenv("ENDIVEPOST_CLOCK_SKEW", "1ms")
+	var vms []string
+	for _, vm := range [][3]string{
+		{"entry-1", "ADMIN", "entry"}, {"runner-1", "RUNNER1", "sidecar"}, {"runner-2", "RUNNER2", "sidecar"}, {"booking-1", "BOOKING", "sidecar"},
+	} {
+		vms = append(vms, fmt.Sprintf(`{"name": %q, "address": %q, "role": %q, "domain": "a"}`, vm[0], ts.Getenv(vm[1]), vm[2]))
+	}
+	document := fmt.Sprintf(fleetDocument, sha256.Sum256([]byte("desk-key")))
+	ts.Check(os.WriteFile(ts.MkAbs("classes.json"), []byte(document), 0o600))
+	ts.Check(os.WriteFile(ts.MkAbs("vms.json"), []byte("["+strings.Join(vms, ",")+"]"), 0o600))
+}
+
 var signals = map[string]syscall.Signal{
 	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 }
@@ -122,7 +204,7 @@
 // sendSignal sends a signal to a background command by its name.
 func sendSignal(ts *testscript.TestScript, _ bool, arguments []string) {
 	for _, command := range ts.BackgroundCmds() {
-		if strings.Contains(strings.Join(command.Args, " "), "--name "+arguments[1]) {
+		if strings.Contains(strings.Join(command.Args, " "), arguments[1]) {
 			ts.Check(command.Process.Signal(signals[arguments[0]]))
 			return
 		}
--- a/internal/node/telemetry/telemetry.go
+++ b/internal/node/telemetry/telemetry.go
@@ -34,13 +34,15 @@
 	log.SetOutput(writer)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	reporter := prometheus.NewReporter(prometheus.Options{OnRegisterError: func(err error) {
-		log.WithError(err).Error("event=metric-rejected")
+		log.WithError(err).WithField("event", "metric-rejected").Error()
 	}})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "endivepost",
-		Tags:           map[string]string{"process": process},
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:                 "endivepost",
+		Tags:                   map[string]string{"process": process},
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportEvery)
 	provider := sdktrace.NewTracerProvider(
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(traceShare))),
