Test the contracts with upstreams, between processes, and of the encoding

Cases in tables: nothing is sent twice on broken reused connections, streams without an end mark are incomplete, lines longer than a scanner's buffer, late hand-over, strangers, old protocol, garbage frames, a peer that does not read.

--- /dev/null
+++ b/internal/node/upstream/upstream_test.go
@@ -0,0 +1,193 @@
+package upstream_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/node/upstream"
+	"endivepost/internal/wire/message"
+)
+
+// run hands a request over and returns its parts and its end.
+func run(t *testing.T, address string, start event.Start) ([]event.UpstreamAnswered, event.UpstreamEnded) {
+	t.Helper()
+	inputs := make(chan event.Input, 4096)
+	settings := upstream.Settings{
+		Address: address, Uptime: func() time.Duration { return time.Second }, FirstByte: 5 * time.Second, Stall: 300 * time.Millisecond,
+		Tracer: noop.NewTracerProvider().Tracer(""),
+	}
+	running := upstream.New(settings, func(input event.Input) { inputs <- input })
+	running.Start(start)
+	var parts []event.UpstreamAnswered
+	for input := range inputs {
+		switch input := input.(type) {
+		case event.UpstreamAnswered:
+			parts = append(parts, input)
+		case event.UpstreamEnded:
+			return parts, input
+		}
+	}
+	return nil, event.UpstreamEnded{}
+}
+
+func request(header ...message.Header) event.Start {
+	payload := message.Payload{Method: http.MethodPost, Path: "/", Body: []byte("body"), Header: header, Guarded: true}
+	return event.Start{ID: message.NewRequestID(1, 1), Payload: payload, NotAfter: time.Minute}
+}
+
+// TestNothingIsSentTwice meets a server that reads each request and then breaks
+// the connection. net/http would by itself send it again on a reused connection,
+// since it carries an Idempotency-Key.
+func TestNothingIsSentTwice(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	var received atomic.Int64
+	go breakAfterFirst(listener, &received)
+	inputs := make(chan event.Input, 64)
+	settings := upstream.Settings{
+		Address: listener.Addr().String(), Uptime: func() time.Duration { return 0 }, FirstByte: time.Second, Stall: time.Second,
+		Tracer: noop.NewTracerProvider().Tracer(""),
+	}
+	running := upstream.New(settings, func(input event.Input) { inputs <- input })
+	key := message.Header{Name: "Idempotency-Key", Value: "k"}
+	for range 2 {
+		start := request(key)
+		start.Payload.Body = nil
+		running.Start(start)
+		for ended := false; !ended; {
+			_, ended = (<-inputs).(event.UpstreamEnded)
+		}
+	}
+	if got := received.Load(); got != 2 {
+		t.Fatalf("two requests were sent, %d received", got)
+	}
+}
+
+// breakAfterFirst answers the first request of a connection and drops the
+// connection on the second.
+func breakAfterFirst(listener net.Listener, received *atomic.Int64) {
+	for answered := false; ; {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				break
+			}
+			received.Add(1)
+			if answered {
+				break
+			}
+			answered = true
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+		conn.Close()
+	}
+}
+
+// TestAnswers is the contract with upstreams as a table of what they do.
+func TestAnswers(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 200_000) + "\n\n"
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    message.Outcome
+		parts   int
+		crashed bool
+	}{
+		{"a whole stream", stream("data: a\n\n", "data: b\n\n", "data: [DONE]\n\n"), message.Complete, 4, false},
+		{"a line longer than a scanner's buffer", stream(long, "data: [DONE]\n\n"), message.Complete, 3, false},
+		{"a stream without its end mark", stream("data: a\n\n"), message.Incomplete, 2, true},
+		{"an event cut in the middle", stream("data: a\n\n", "data: b"), message.Incomplete, 2, true},
+		{"a plain answer", plain(http.StatusOK, "whole"), message.Complete, 2, false},
+		{"an error of the upstream", plain(http.StatusConflict, "taken"), message.Failed, 2, false},
+		{"an answer shorter than announced", short, message.Incomplete, 2, true},
+		{"a connection dropped before the answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			message.Incomplete, 0, true},
+		{"silence in the middle of a stream", silent, message.Incomplete, 2, false},
+	}
+	for _, row := range cases {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(row.handler)
+			defer server.Close()
+			parts, end := run(t, server.Listener.Addr().String(), request())
+			if end.Outcome != row.want || end.Crashed != row.crashed || end.NotStarted {
+				t.Errorf("ended with %+v", end)
+			}
+			if len(parts) != row.parts {
+				t.Errorf("%d parts, want %d", len(parts), row.parts)
+			}
+		})
+	}
+}
+
+func stream(events ...string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		for _, text := range events {
+			fmt.Fprint(writer, text)
+		}
+	}
+}
+
+func plain(status int, body string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(status)
+		fmt.Fprint(writer, body)
+	}
+}
+
+func short(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Length", "100")
+	fmt.Fprint(writer, "short")
+}
+
+func silent(writer http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body) // the server sees a hang-up only then
+	stream("data: a\n\n")(writer, request)
+	_ = http.NewResponseController(writer).Flush()
+	<-request.Context().Done()
+}
+
+// TestTooLateIsNotHandedOver wakes the shell after the lease of the hand-over.
+func TestTooLateIsNotHandedOver(t *testing.T) {
+	var received atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer server.Close()
+	start := request()
+	start.NotAfter = time.Millisecond
+	_, end := run(t, server.Listener.Addr().String(), start)
+	if !end.NotStarted || received.Load() != 0 {
+		t.Fatalf("ended with %+v, %d received", end, received.Load())
+	}
+}
+
+// TestUnreachableUpstreamRanNothing dials a port where nobody listens.
+func TestUnreachableUpstreamRanNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	if _, end := run(t, address, request()); !end.NotStarted || end.Reason != message.UpstreamDown {
+		t.Fatalf("ended with %+v", end)
+	}
+}
--- /dev/null
+++ b/internal/wire/link/link_test.go
@@ -0,0 +1,134 @@
+package link_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+
+	"endivepost/internal/wire/link"
+	"endivepost/internal/wire/message"
+)
+
+const secret = "a-shared-secret"
+
+// serve accepts links and reports what each one brings and how it ends.
+func serve(t *testing.T) (address string, received chan message.Message, ended chan error) {
+	t.Helper()
+	received = make(chan message.Message, 16)
+	ended = make(chan error, 16)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		accepted, err := link.Accept(writer, request, secret, link.Identity{Name: "sidecar", Boot: 2})
+		if err != nil {
+			ended <- err
+			return
+		}
+		ended <- accepted.Run(func(body message.Message) { received <- body })
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), received, ended
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	address, received, _ := serve(t)
+	dialled, err := link.Dial(address, secret, link.Identity{Name: "entry", Boot: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialled.Close()
+	go func() { _ = dialled.Run(func(message.Message) {}) }()
+	if got := dialled.Peer(); got != (link.Identity{Name: "sidecar", Boot: 2}) {
+		t.Fatalf("the peer is %+v", got)
+	}
+	for i := range 10 {
+		dialled.Send(message.Chunk{Index: i, Data: make([]byte, 100_000)})
+	}
+	for i := range 10 {
+		if chunk, ok := (<-received).(message.Chunk); !ok || chunk.Index != i {
+			t.Fatalf("got %+v in place of part %d", chunk.Index, i)
+		}
+	}
+}
+
+// TestStrangersAreRefused dials with what a sidecar must not accept.
+func TestStrangersAreRefused(t *testing.T) {
+	address, _, ended := serve(t)
+	header := func(secret, protocol, boot string) http.Header {
+		return http.Header{
+			"Authorization": {"Bearer " + secret}, "Endivepost-Protocol": {protocol}, "Endivepost-Name": {"entry"}, "Endivepost-Boot": {boot},
+		}
+	}
+	cases := []struct {
+		name   string
+		header http.Header
+		want   error
+	}{
+		{"no secret", http.Header{}, link.ErrSecret},
+		{"a wrong secret", header("guess", "1", "1"), link.ErrSecret},
+		{"an old protocol", header(secret, "0", "1"), link.ErrProtocol},
+		{"no boot number", header(secret, "1", "x"), link.ErrIdentity},
+	}
+	for _, row := range cases {
+		_, _, err := websocket.DefaultDialer.Dial("ws://"+address+"/link", row.header)
+		if err == nil {
+			t.Errorf("%s: accepted", row.name)
+		}
+		if got := <-ended; !errors.Is(got, row.want) {
+			t.Errorf("%s: %v, want %v", row.name, got, row.want)
+		}
+	}
+}
+
+// TestGarbageEndsTheLink sends frames that are no message of the protocol.
+func TestGarbageEndsTheLink(t *testing.T) {
+	address, received, ended := serve(t)
+	header := http.Header{
+		"Authorization": {"Bearer " + secret}, "Endivepost-Protocol": {"1"}, "Endivepost-Name": {"entry"}, "Endivepost-Boot": {"1"},
+	}
+	for _, frame := range []string{"", "garbage", "\x82\x18\xff\xa0", "\x82\x03\x01", strings.Repeat("\x9f", 1000)} {
+		conn, _, err := websocket.DefaultDialer.Dial("ws://"+address+"/link", header)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := conn.WriteMessage(websocket.BinaryMessage, []byte(frame)); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-ended; err == nil {
+			t.Errorf("%q was accepted", frame)
+		}
+		conn.Close()
+	}
+	if len(received) > 0 {
+		t.Errorf("received %+v", <-received)
+	}
+}
+
+// TestPeerThatDoesNotReadLosesItsLink: Send never blocks.
+func TestPeerThatDoesNotReadLosesItsLink(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = link.Accept(writer, request, secret, link.Identity{Name: "sidecar", Boot: 2})
+		<-request.Context().Done()
+	}))
+	defer server.Close()
+	dialled, err := link.Dial(server.Listener.Addr().String(), secret, link.Identity{Name: "entry", Boot: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- dialled.Run(func(message.Message) {}) }()
+	for range 10_000 {
+		dialled.Send(message.Chunk{Data: make([]byte, 10_000)})
+	}
+	select {
+	case err := <-done:
+		if err == nil {
+			t.Error("the link ended without an error")
+		}
+	case <-time.After(time.Minute):
+		t.Fatal("the link never ended")
+	}
+}
--- /dev/null
+++ b/internal/wire/message/message_test.go
@@ -0,0 +1,78 @@
+package message_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"endivepost/internal/wire/message"
+)
+
+func samples() []message.Message {
+	id := message.NewRequestID(7, 9).WithAttempt(2)
+	payload := message.Payload{Method: "POST", Path: "/v1", Header: []message.Header{{Name: "A", Value: "b"}}, Body: []byte("x"), Stream: true}
+	return []message.Message{
+		message.Heartbeat{Uptime: time.Second, Echo: 2, ConfigVersion: 3, Load: message.Load{Limit: 4, Running: 5, Queued: 6, Wait: 7},
+			Leaving: true, Suspicions: []message.Suspicion{{Fingerprint: 1, Crashes: 2, Remaining: 3}}},
+		message.Reserve{ID: id, Class: "c", Account: "a", Tier: 1, Budget: time.Second, Guarded: true, Key: message.Digest{1},
+			KeyBorn: time.UnixMicro(1_800_000_000_000_000).UTC(), Payload: &payload},
+		message.Claim{ID: id}, message.Grant{ID: id, Payload: payload}, message.Withdraw{ID: id},
+		message.Refused{ID: id, Reason: message.QueueFull, RetryAfter: time.Second},
+		message.Chunk{ID: id, Index: 3, Data: []byte("data"), Status: 200}, message.End{ID: id, Chunks: 4, Outcome: message.Complete},
+		message.Attach{ID: id, Next: 2, Since: time.Second}, message.ConfigPull{Have: 3}, message.Config{Raw: []byte("{}")},
+	}
+}
+
+func TestEveryMessageComesBackAlike(t *testing.T) {
+	for _, sample := range samples() {
+		data, err := message.Encode(sample)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := message.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := message.Encode(decoded)
+		if err != nil || !bytes.Equal(again, data) || reflect.TypeOf(decoded) != reflect.TypeOf(sample) {
+			t.Errorf("%T: sent %+v, got %+v (%v)", sample, sample, decoded, err)
+		}
+	}
+}
+
+// FuzzDecode looks for frames that make the decoder panic, or that decode to a
+// message which does not encode again.
+func FuzzDecode(f *testing.F) {
+	for _, sample := range samples() {
+		data, _ := message.Encode(sample)
+		f.Add(data)
+	}
+	f.Add([]byte("\x82\x18\xff\xa0"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := message.Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := message.Encode(decoded); err != nil {
+			t.Errorf("%+v does not encode again: %v", decoded, err)
+		}
+	})
+}
+
+func TestUnknownKind(t *testing.T) {
+	if _, err := message.Decode([]byte("\x82\x18\xff\xa0")); !errors.Is(err, message.ErrUnknownKind) {
+		t.Fatal(err)
+	}
+}
+
+func ExampleRequestID_WithAttempt() {
+	id := message.NewRequestID(1, 2)
+	fmt.Println(id.WithAttempt(3))
+	fmt.Println(id.WithAttempt(3).WithAttempt(0) == id)
+	// Output:
+	// 00000000000000010000000000020003
+	// true
+}
