--- a/internal/command/verbs/load.go
+++ b/internal/command/verbs/load.go
@@ -1,11 +1,53 @@
 package verbs
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
+	"os"
+	"strings"
 
 	"github.com/urfave/cli/v2"
+
+	"endivepost/internal/load/runner"
+	"endivepost/internal/load/scenario"
 )
 
 func loadCommand() *cli.Command {
-	return &cli.Command{Action: func(*cli.Context) error { return errors.New("load: not built yet") }}
+	return &cli.Command{
+		Flags: []cli.Flag{
+			requiredFlag("scenario", "file with the scenario"),
+			requiredFlag("entries", "addresses of entries, with commas between"),
+			textFlag("engines", "addresses of engine stand-ins, for faults and wasted tokens", ""),
+			numberFlag("seed", "seed of the arrivals and prompts", 1),
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+			&cli.BoolFlag{Name: "must-be-whole", Usage: "exit 1 unless every call got its own whole answer"},
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx *cli.Context) error {
+	raw, err := os.ReadFile(ctx.String("scenario"))
+	if err != nil {
+		return fmt.Errorf("--scenario: %w", err)
+	}
+	described, err := scenario.Parse(raw)
+	if err != nil {
+		return fmt.Errorf("%s: %w", ctx.String("scenario"), err)
+	}
+	settings := runner.Settings{Entries: strings.Split(ctx.String("entries"), ","), Seed: uint64(ctx.Int("seed"))}
+	if engines := ctx.String("engines"); engines != "" {
+		settings.Engines = strings.Split(engines, ",")
+	}
+	summary := runner.New(described, settings).Run(ctx.Context)
+	if ctx.Bool("json") {
+		err = json.NewEncoder(ctx.App.Writer).Encode(summary)
+	} else {
+		err = summary.Write(ctx.App.Writer)
+	}
+	if err == nil && ctx.Bool("must-be-whole") && !summary.Whole() {
+		return errors.New("load: not every call got its own whole answer")
+	}
+	return err
 }
--- /dev/null
+++ b/internal/load/runner/runner.go
@@ -0,0 +1,266 @@
+// Package runner sends a scenario's load and measures what comes back.
+package runner
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"endivepost/internal/load/report"
+	"endivepost/internal/load/scenario"
+	"endivepost/internal/standin/engine"
+	"endivepost/internal/standin/script"
+)
+
+// Runner is an open-loop client: a late answer does not slow down what follows.
+type Runner struct {
+	scenario scenario.Scenario
+	settings Settings
+	client   *http.Client
+	report   *report.Report
+	wait     sync.WaitGroup
+}
+
+// Settings of a Runner. Engines are the addresses of the stand-ins, for faults
+// and for the count of tokens made.
+type Settings struct {
+	Entries []string
+	Engines []string
+	Seed    uint64
+}
+
+const (
+	callTimeout = 2 * time.Minute
+	mostIdle    = 4096
+	alphabet    = "abcdefghijklmnopqrstuvwxyz "
+)
+
+// New returns a runner for the scenario.
+func New(described scenario.Scenario, settings Settings) *Runner {
+	transport := &http.Transport{MaxIdleConnsPerHost: mostIdle}
+	return &Runner{
+		scenario: described, settings: settings, report: report.New(),
+		client: &http.Client{Transport: transport, Timeout: callTimeout},
+	}
+}
+
+// Run sends the load and returns the result when all calls have ended.
+func (runner *Runner) Run(ctx context.Context) report.Summary {
+	before := runner.made(ctx)
+	for i, flow := range runner.scenario.Flows {
+		runner.wait.Add(1)
+		go runner.send(ctx, flow, rand.New(rand.NewPCG(runner.settings.Seed, uint64(i))))
+	}
+	for _, fault := range runner.scenario.Faults {
+		go runner.inject(ctx, fault)
+	}
+	runner.wait.Wait()
+	return runner.report.Summary(runner.scenario.Name, runner.settings.Seed, runner.made(ctx)-before)
+}
+
+// send makes the arrivals of one flow.
+func (runner *Runner) send(ctx context.Context, flow scenario.Flow, random *rand.Rand) {
+	defer runner.wait.Done()
+	begin := time.Now()
+	next := time.Duration(0)
+	for {
+		next += time.Duration(random.ExpFloat64() / flow.RateAt(next) * float64(time.Second))
+		if next >= time.Duration(runner.scenario.Duration) || !sleepUntil(ctx, begin.Add(next)) {
+			return
+		}
+		prompt := newPrompt(random, flow.PromptChars)
+		entry := runner.settings.Entries[random.IntN(len(runner.settings.Entries))]
+		runner.wait.Add(1)
+		go runner.call(ctx, flow, entry, prompt, false)
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func newPrompt(random *rand.Rand, length int) string {
+	letters := make([]byte, length)
+	for i := range letters {
+		letters[i] = alphabet[random.IntN(len(alphabet))]
+	}
+	return string(letters)
+}
+
+// call makes one call. A caller who honours Retry-After comes back once.
+func (runner *Runner) call(ctx context.Context, flow scenario.Flow, entry, prompt string, returned bool) {
+	defer runner.wait.Done()
+	sample, retryAfter := runner.exchange(ctx, flow, entry, prompt)
+	sample.Returned = returned
+	runner.report.Add(sample)
+	if returned || !flow.HonourRetryAfter || retryAfter == 0 || !sleepUntil(ctx, time.Now().Add(retryAfter)) {
+		return
+	}
+	runner.wait.Add(1)
+	go runner.call(ctx, flow, entry, prompt, true)
+}
+
+type turn struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chat struct {
+	Model    string `json:"model"`
+	Stream   bool   `json:"stream"`
+	Messages []turn `json:"messages"`
+}
+
+func (runner *Runner) exchange(ctx context.Context, flow scenario.Flow, entry, prompt string) (report.Sample, time.Duration) {
+	sample := report.Sample{Flow: flow, Outcome: "no-answer"}
+	request, err := newRequest(ctx, flow, entry, prompt)
+	if err != nil {
+		return sample, 0
+	}
+	begin := time.Now()
+	response, err := runner.client.Do(request)
+	if err != nil {
+		return sample, 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	text := runner.read(response, begin, &sample)
+	sample.Whole = time.Since(begin)
+	sample.Outcome = response.Header.Get("Endivepost-Outcome") + response.Trailer.Get("Endivepost-Outcome")
+	if sample.Outcome == "complete" && flow.Model != "" {
+		answers := runner.scenario.Answers
+		wanted := script.New(flow.Model, prompt, answers.Median, answers.Spread, answers.Most)
+		sample.Tokens = wanted.Len()
+		sample.Mixed = text != wanted.Text()
+	}
+	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+	return sample, time.Duration(seconds) * time.Second
+}
+
+func newRequest(ctx context.Context, flow scenario.Flow, entry, prompt string) (*http.Request, error) {
+	path := flow.Path
+	body := []byte(prompt)
+	if flow.Model != "" {
+		path = "/v1/chat/completions"
+		asked := chat{Model: flow.Model, Stream: flow.Stream, Messages: []turn{{Role: "user", Content: prompt}}}
+		encoded, err := json.Marshal(asked)
+		if err != nil {
+			return nil, err
+		}
+		body = encoded
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+flow.Key)
+	request.Header.Set("Endivepost-Class", flow.Class)
+	return request, nil
+}
+
+// completion is the part of an answer that holds its text.
+type completion struct {
+	Choices []struct {
+		Delta   turn `json:"delta"`
+		Message turn `json:"message"`
+	} `json:"choices"`
+}
+
+func (answer completion) text() string {
+	if len(answer.Choices) == 0 {
+		return ""
+	}
+	return answer.Choices[0].Delta.Content + answer.Choices[0].Message.Content
+}
+
+func (runner *Runner) read(response *http.Response, begin time.Time, sample *report.Sample) string {
+	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		var answer completion
+		body, _ := io.ReadAll(response.Body)
+		sample.First = time.Since(begin)
+		_ = json.Unmarshal(body, &answer)
+		return answer.text()
+	}
+	var text strings.Builder
+	reader := bufio.NewReader(response.Body)
+	latest := begin
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			return text.String()
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: {"))
+		if !ok {
+			continue
+		}
+		now := time.Now()
+		if sample.First == 0 {
+			sample.First = now.Sub(begin)
+		} else {
+			sample.Gaps = append(sample.Gaps, now.Sub(latest))
+		}
+		latest = now
+		var event completion
+		_ = json.Unmarshal(append([]byte("{"), data...), &event)
+		text.WriteString(event.text())
+	}
+}
+
+func (runner *Runner) inject(ctx context.Context, fault scenario.Fault) {
+	if fault.Engine >= len(runner.settings.Engines) || !sleepUntil(ctx, time.Now().Add(time.Duration(fault.At))) {
+		return
+	}
+	url := fmt.Sprintf("http://%s/control/fault", runner.settings.Engines[fault.Engine])
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(fault.Body))
+	if err != nil {
+		return
+	}
+	if response, err := runner.client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// made asks the engines how many tokens they made, past their report's lag.
+func (runner *Runner) made(ctx context.Context) int {
+	if len(runner.settings.Engines) == 0 {
+		return 0
+	}
+	sleepUntil(ctx, time.Now().Add(reportLag))
+	total := 0
+	for _, address := range runner.settings.Engines {
+		total += runner.madeBy(ctx, address)
+	}
+	return total
+}
+
+const reportLag = 1500 * time.Millisecond
+
+func (runner *Runner) madeBy(ctx context.Context, address string) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return 0
+	}
+	response, err := runner.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	var load engine.Report
+	_ = json.NewDecoder(response.Body).Decode(&load)
+	return load.Made
+}
