--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINTER_VERSION := v2.11.4
 LINTER := bin/golangci-lint
 
-.PHONY: all build lint test demo bench capacity clean
+.PHONY: all build lint test mutants bench capacity demo clean
 
 all: build lint test
 
@@ -18,5 +18,17 @@
 test:
 	go test -race -count=1 ./...
 
+mutants:
+	scripts/mutants.sh
+
+bench: build
+	scripts/bench.sh
+
+capacity: build
+	bin/endivepost capacity
+
+demo: build
+	scripts/demo.sh
+
 clean:
 	rm -rf bin out
--- a/internal/command/verbs/stand_in.go
+++ b/internal/command/verbs/stand_in.go
@@ -47,6 +47,7 @@
 				durationFlag("step-base", "time of a step with one sequence", 10*time.Millisecond),
 				durationFlag("step-each", "time that each further sequence adds to a step", time.Millisecond),
 				durationFlag("prefill-each", "time that a prompt token adds to a step", 50*time.Microsecond),
+				numberFlag("prefill-chunk", "most prompt tokens of a step", 128),
 				durationFlag("report-lag", "time between two load reports", time.Second),
 				shareFlag("median-tokens", "median length of an answer", defaultMedian),
 				shareFlag("spread", "spread of the logarithm of the lengths", defaultSpread),
@@ -77,7 +78,7 @@
 	if ctx.Float64("speed") <= 0 {
 		return fmt.Errorf("--speed: must be above zero")
 	}
-	if err := checkPositive(ctx, "batch", "kv-tokens", "most-tokens"); err != nil {
+	if err := checkPositive(ctx, "batch", "kv-tokens", "most-tokens", "prefill-chunk"); err != nil {
 		return err
 	}
 	running := engine.New(engine.Settings{
@@ -87,6 +88,7 @@
 		StepBase:     ctx.Duration("step-base"),
 		StepEach:     ctx.Duration("step-each"),
 		PrefillEach:  ctx.Duration("prefill-each"),
+		PrefillChunk: ctx.Int("prefill-chunk"),
 		MedianTokens: ctx.Float64("median-tokens"),
 		Spread:       ctx.Float64("spread"),
 		MostTokens:   ctx.Int("most-tokens"),
--- a/internal/command/verbs/verbs.go
+++ b/internal/command/verbs/verbs.go
@@ -30,6 +30,7 @@
 	{"status", "show the processes and what each has in force", "endivepost status --platform http://10.0.0.2:7000", statusCommand},
 	{"explain", "say in plain words why a class misses its target", "endivepost explain guide --platform http://10.0.0.2:7000", explainCommand},
 	{"load", "send a load from a scenario and report on it", "endivepost load --scenario burst.json --entries 127.0.0.1:8080", loadCommand},
+	{"capacity", "measure what rows, messages and connections cost", "endivepost capacity", capacityCommand},
 	{"stand-in", "run a small stand-in of an outside system", "endivepost stand-in engine --listen 127.0.0.1:8000", standInCommand},
 	{"help", "show help on a verb or a topic", "endivepost help topics", helpCommand},
 }
--- /dev/null
+++ b/internal/load/capacity/cores.go
@@ -0,0 +1,223 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"endivepost/internal/config/document"
+	"endivepost/internal/core/event"
+	"endivepost/internal/core/gate"
+	"endivepost/internal/core/keyring"
+	"endivepost/internal/core/router"
+	"endivepost/internal/policy/fixed"
+	"endivepost/internal/policy/latebinding"
+	"endivepost/internal/policy/tiered"
+	"endivepost/internal/wire/message"
+)
+
+func measures() []measure {
+	rows := []int{64, 256, 1024, 4096}
+	peers := []int{16, 64, 256, 1024}
+	return []measure{
+		{"entry: memory of a connected sidecar's row", "B", peers, func(size int) float64 {
+			return heapOf(func() any { return newRouter(size) })
+		}},
+		{"entry: memory of a waiting request (1 KB body)", "B", rows, func(size int) float64 {
+			return heapOf(func() any { return withRequests(newRouter(16), size) })
+		}},
+		{"entry: time to take one heartbeat from each sidecar", "us", peers, takeHeartbeats},
+		{"entry: time to send a round of heartbeats", "us", peers, sendHeartbeats},
+		{"entry: time to place and finish requests among 16 sidecars", "us", rows, placeRequests},
+		{"entry: time to place and finish 256 requests, by sidecars", "us", peers, func(size int) float64 {
+			return finishRequests(newRouter(size), 256)
+		}},
+		{"sidecar: memory of a waiting reservation", "B", rows, func(size int) float64 {
+			return heapOf(func() any { return withReservations(newGate(0), size) })
+		}},
+		{"sidecar: memory of a kept run (600 B answer)", "B", rows, func(size int) float64 {
+			return heapOf(func() any { return withRuns(newGate(size), size) })
+		}},
+		{"sidecar: time to reserve, claim, grant, run and end", "us", rows, func(size int) float64 {
+			sidecar := newGate(size)
+			return microsOf(func() { withRuns(sidecar, size) })
+		}},
+		{"sidecar: time to send a round of heartbeats, by entries", "us", peers, func(size int) float64 {
+			sidecar := gateWithLinks(size)
+			return microsOf(func() { sidecar.Step(time.Minute, nil) })
+		}},
+		{"all: size of the class document, by accounts", "B", rows, func(size int) float64 { return float64(len(documentOf(size, 64))) }},
+		{"all: time to accept the class document, by accounts", "us", rows, func(size int) float64 {
+			raw := documentOf(size, 64)
+			return microsOf(func() { _, _ = document.Parse(raw) })
+		}},
+		{"all: memory of the class document, by accounts", "B", rows, func(size int) float64 {
+			raw := documentOf(size, 64)
+			return heapOf(func() any { parsed, _ := document.Parse(raw); return parsed })
+		}},
+		{"all: memory of an idle connection, both ends", "B", []int{16, 64, 256, 512}, linkMemory},
+		{"all: processor time of a heartbeat, both ends", "us", []int{256, 1024, 4096, 16384}, heartbeatTime},
+	}
+}
+
+func documentOf(accounts, upstreams int) []byte {
+	written := document.Document{Version: 1, Classes: []document.Class{
+		{Name: "class-1", Tier: 1, Model: "model-1", FirstToken: document.Duration(time.Second)},
+	}}
+	for i := range accounts {
+		written.Accounts = append(written.Accounts, document.Account{
+			Name: fmt.Sprintf("account-%d", i), KeySHA256: fmt.Sprintf("%064x", i), DefaultClass: "class-1",
+		})
+	}
+	for i := range upstreams {
+		written.Upstreams = append(written.Upstreams, document.Upstream{Name: sidecarName(i), Model: "model-1"})
+	}
+	raw, _ := json.Marshal(written)
+	return raw
+}
+
+func sidecarName(i int) string {
+	return fmt.Sprintf("runner-%d", i)
+}
+
+const readyGrace = time.Millisecond
+
+// newRouter returns a router that is connected to so many sidecars.
+func newRouter(sidecars int) *router.Router {
+	entry := router.New(router.Settings{
+		Name: "entry-1", Placement: latebinding.New(2), Waiting: tiered.New[message.RequestID](tiered.Floor{Wait: time.Second, Every: 10}),
+		Random: rand.New(rand.NewPCG(1, 1)), WaitingBound: 1 << 20, SubsetSize: 1 << 20, WatchersPerDomain: 1, PushLease: 2 * time.Second,
+		HeartbeatEvery: time.Second, SilenceLimit: time.Hour, AttachFor: time.Second, ReadyGrace: readyGrace, RedialAfter: time.Second,
+	})
+	members := make([]event.Member, sidecars)
+	for i := range members {
+		members[i] = event.Member{Name: sidecarName(i), Address: "127.0.0.1:1", Role: "sidecar"}
+	}
+	entry.Step(0, []event.Input{event.DocumentRead{Raw: documentOf(1, sidecars)}, event.MembersRead{Members: members}})
+	for i := range sidecars {
+		entry.Step(0, []event.Input{event.LinkOpened{Peer: sidecarName(i), Link: 1, Boot: 1}})
+	}
+	entry.Step(2*readyGrace, heartbeats(sidecars, message.Load{Limit: 1, Running: 1}))
+	return entry
+}
+
+func heartbeats(sidecars int, load message.Load) []event.Input {
+	inputs := make([]event.Input, sidecars)
+	for i := range inputs {
+		heartbeat := message.Heartbeat{Uptime: time.Second, ConfigVersion: 1, Load: load}
+		inputs[i] = event.Received{Peer: sidecarName(i), Link: 1, Message: heartbeat}
+	}
+	return inputs
+}
+
+func takeHeartbeats(sidecars int) float64 {
+	entry := newRouter(sidecars)
+	inputs := heartbeats(sidecars, message.Load{Limit: 1, Running: 1})
+	return microsOf(func() { entry.Step(10*readyGrace, inputs) })
+}
+
+func sendHeartbeats(sidecars int) float64 {
+	entry := newRouter(sidecars)
+	return microsOf(func() { entry.Step(2*time.Second, nil) })
+}
+
+func submitted(sequence int) event.Submitted {
+	class := document.Class{Name: "class-1", Tier: 1, Model: "model-1", GiveUpAfter: document.Duration(time.Hour)}
+	return event.Submitted{Request: event.Request{
+		ID: message.NewRequestID(1, uint64(sequence)), Account: "account-1", Class: class, Payload: message.Payload{Body: make([]byte, 1024)},
+	}}
+}
+
+func withRequests(entry *router.Router, count int) *router.Router {
+	for i := range count {
+		entry.Step(3*readyGrace, []event.Input{submitted(i + 1)})
+	}
+	return entry
+}
+
+func placeRequests(count int) float64 {
+	return finishRequests(newRouter(16), count)
+}
+
+// finishRequests carries requests through reservation, claim, grant and answer.
+func finishRequests(entry *router.Router, count int) float64 {
+	return microsOf(func() {
+		for i := range count {
+			carryRequest(entry, i+1)
+		}
+	})
+}
+
+func carryRequest(entry *router.Router, sequence int) {
+	now := 3 * readyGrace
+	for _, output := range entry.Step(now, []event.Input{submitted(sequence)}) {
+		sent, ok := output.(event.Send)
+		if !ok {
+			continue
+		}
+		reserve, ok := sent.Message.(message.Reserve)
+		if !ok {
+			continue
+		}
+		from := func(body message.Message) event.Input { return event.Received{Peer: sent.Peer, Link: 1, Message: body} }
+		entry.Step(now, []event.Input{from(message.Claim{ID: reserve.ID})})
+		entry.Step(now, []event.Input{
+			from(message.Chunk{ID: reserve.ID}), from(message.Chunk{ID: reserve.ID, Index: 1}),
+			from(message.End{ID: reserve.ID, Chunks: 2, Outcome: message.Complete}),
+		})
+		return
+	}
+}
+
+const peer = "entry-1/1"
+
+func newGate(slots int) *gate.Gate {
+	sidecar := gate.New(gate.Settings{
+		Name: "runner-0", Order: tiered.New[message.RequestID](tiered.Floor{Wait: time.Second, Every: 10}), Limit: fixed.Limit(slots),
+		Keys: keyring.Settings{Bound: 1 << 20}, QueueBound: 1 << 20, ClaimLease: time.Second, PushLease: time.Second,
+		HeartbeatEvery: time.Second, SilenceLimit: time.Hour, AttachFor: time.Hour, KeepBytes: 1 << 20,
+	})
+	sidecar.Step(0, []event.Input{event.LinkOpened{Peer: peer, Link: 1, Boot: 1}, event.DocumentRead{Raw: documentOf(1, 1)}})
+	return sidecar
+}
+
+func gateWithLinks(links int) *gate.Gate {
+	sidecar := newGate(0)
+	for i := range links {
+		sidecar.Step(0, []event.Input{event.LinkOpened{Peer: fmt.Sprintf("entry-%d/1", i+2), Link: 1, Boot: 1}})
+	}
+	return sidecar
+}
+
+func received(body message.Message) event.Input {
+	return event.Received{Peer: peer, Link: 1, Message: body}
+}
+
+func reservation(sequence int) message.Reserve {
+	return message.Reserve{
+		ID: message.NewRequestID(1, uint64(sequence)), Class: "class-1", Account: "account-1", Tier: 1, Budget: time.Hour,
+	}
+}
+
+func withReservations(sidecar *gate.Gate, count int) *gate.Gate {
+	for i := range count {
+		sidecar.Step(0, []event.Input{received(reservation(i + 1))})
+	}
+	return sidecar
+}
+
+const answerParts = 3
+
+func withRuns(sidecar *gate.Gate, count int) *gate.Gate {
+	for i := range count {
+		reserve := reservation(i + 1)
+		sidecar.Step(0, []event.Input{received(reserve)})
+		sidecar.Step(0, []event.Input{received(message.Grant{ID: reserve.ID})})
+		for range answerParts {
+			sidecar.Step(0, []event.Input{event.UpstreamAnswered{ID: reserve.ID, Data: make([]byte, 200)}})
+		}
+		sidecar.Step(0, []event.Input{event.UpstreamEnded{ID: reserve.ID, Outcome: message.Complete}})
+	}
+	return sidecar
+}
--- /dev/null
+++ b/internal/load/capacity/messages.go
@@ -0,0 +1,60 @@
+package capacity
+
+import (
+	"runtime"
+	"time"
+
+	"endivepost/internal/wire/message"
+)
+
+type messageSize struct {
+	name  string
+	bytes int
+	what  string
+}
+
+// frameBytes is the WebSocket header of a short frame from a client, with mask.
+const frameBytes = 6
+
+// messageSizes encodes one message of each kind, with typical contents.
+func messageSizes() []messageSize {
+	id := message.NewRequestID(1<<62, 1<<30).WithAttempt(1)
+	echo := 48 * time.Hour
+	load := message.Load{Limit: 30, Running: 28, Queued: 12, Wait: time.Second}
+	reserve := message.Reserve{
+		ID: id, Class: "guide", Account: "dakar-desk", Tier: 1, Budget: 3600 * time.Millisecond, Fingerprint: 1 << 62,
+		BodySum: message.Digest{1},
+	}
+	pushed := reserve
+	pushed.Echo = echo
+	pushed.Payload = &message.Payload{}
+	samples := []struct {
+		name string
+		body message.Message
+	}{
+		{"heartbeat", message.Heartbeat{Uptime: echo, Echo: echo, ConfigVersion: 1 << 20, Load: load}},
+		{"reserve", reserve},
+		{"reserve with a push, without the body", pushed},
+		{"claim", message.Claim{ID: id}},
+		{"grant, without the body", message.Grant{ID: id}},
+		{"withdraw", message.Withdraw{ID: id}},
+		{"refused", message.Refused{ID: id, Reason: message.QueueFull, RetryAfter: time.Second}},
+		{"chunk, without its data", message.Chunk{ID: id, Index: 100}},
+		{"end", message.End{ID: id, Chunks: 100, Outcome: message.Complete}},
+	}
+	var sizes []messageSize
+	for _, sample := range samples {
+		data, _ := message.Encode(sample.body)
+		sizes = append(sizes, messageSize{name: sample.name, bytes: len(data) + frameBytes, what: "CBOR and WebSocket header"})
+	}
+	return sizes
+}
+
+// memoryInUse returns the bytes of heap and stacks in use.
+func memoryInUse() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -37,7 +37,8 @@
 }
 
 // Settings of an Engine. StepBase is the time of a step with one sequence,
-// StepEach what each further one adds, PrefillEach what a prompt token adds. A
+// StepEach what each further one adds, PrefillEach what a prompt token adds, of
+// which a step takes PrefillChunk at the most. A
 // Speed of 10 makes time run ten times faster.
 type Settings struct {
 	Model        string
@@ -46,6 +47,7 @@
 	StepBase     time.Duration
 	StepEach     time.Duration
 	PrefillEach  time.Duration
+	PrefillChunk int
 	MedianTokens float64
 	Spread       float64
 	MostTokens   int
@@ -76,6 +78,7 @@
 	answer   script.Script
 	next     int
 	prompt   int
+	prefill  int
 	priority int
 	arrival  uint64
 	prefix   uint64
@@ -136,7 +139,8 @@
 	if engine.fault.Freeze {
 		return idlePoll
 	}
-	prefill := engine.admit()
+	engine.admit()
+	prefill := engine.prefill()
 	if len(engine.running) == 0 {
 		return idlePoll
 	}
@@ -149,16 +153,26 @@
 	return took
 }
 
-// admit moves waiting sequences into the batch and returns the prompt tokens to
-// prefill; a cached prefix costs nothing.
-func (engine *Engine) admit() int {
+// prefill works off a bounded number of prompt tokens in each step, so that a
+// long prompt does not hold up the others' tokens, and returns that number.
+func (engine *Engine) prefill() int {
+	done := 0
+	for _, sequence := range engine.running {
+		part := min(sequence.prefill, engine.settings.PrefillChunk-done)
+		sequence.prefill -= part
+		done += part
+	}
+	return done
+}
+
+// admit moves waiting sequences into the batch. A cached prefix needs no prefill.
+func (engine *Engine) admit() {
 	sort.SliceStable(engine.waiting, func(i, j int) bool {
 		if engine.waiting[i].priority != engine.waiting[j].priority {
 			return engine.waiting[i].priority < engine.waiting[j].priority
 		}
 		return engine.waiting[i].arrival < engine.waiting[j].arrival
 	})
-	prefill := 0
 	used := engine.kvUsed()
 	for len(engine.waiting) > 0 && len(engine.running) < engine.settings.Batch {
 		first := engine.waiting[0]
@@ -169,10 +183,9 @@
 		engine.running = append(engine.running, first)
 		used += first.prompt
 		if !engine.cached(first.prefix) {
-			prefill += first.prompt
+			first.prefill = first.prompt
 		}
 	}
-	return prefill
 }
 
 func (engine *Engine) kvUsed() int {
@@ -208,6 +221,10 @@
 		if sequence.done {
 			continue
 		}
+		if sequence.prefill > 0 {
+			kept = append(kept, sequence)
+			continue
+		}
 		engine.made++
 		sequence.events <- sequence.answer.Token(sequence.next)
 		sequence.next++
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,77 @@
+#!/usr/bin/env bash
+# Takes each mechanism away, one at a time, in a copy of the tree, and checks
+# that the proof of its promise then fails. Exits 1 if a proof still passes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+survived=0
+
+# mutant NAME FILE SED_EXPRESSION PACKAGE TEST
+mutant() {
+  local name=$1 file=$2 expression=$3 package=$4 test=$5
+  rm -rf "$copy/tree"
+  mkdir "$copy/tree"
+  git ls-files -z cmd internal go.mod go.sum | xargs -0 cp --parents -t "$copy/tree"
+  sed -i -E "$expression" "$copy/tree/$file"
+  if cmp -s "$file" "$copy/tree/$file"; then
+    echo "stale    $name: the expression changes nothing in $file"
+    survived=1
+  elif (cd "$copy/tree" && go vet "$package" >/dev/null 2>&1 && timeout 300 go test -count=1 -run "$test" "$package" >"$copy/log" 2>&1); then
+    echo "survived $name: $test still passes"
+    survived=1
+  elif grep -qE '^(--- FAIL|panic)|rapid\] failed' "$copy/log"; then
+    echo "killed   $name: $(grep -aoE 'rapid\] failed after [0-9]+ tests: .*|_test.go:[0-9]+: .*' "$copy/log" | head -n 1 | cut -c1-110)"
+  else
+    echo "broken   $name: it does not build"
+    survived=1
+  fi
+  : >"$copy/log"
+}
+touch "$copy/log"
+
+proof=./internal/core/proof
+mutant "at most once: no check of the key's time" internal/core/keyring/keyring.go \
+  's/if !ring\.provable\(now, since, query\.KeyBorn\)/if false \&\& !ring.provable(now, since, query.KeyBorn)/' $proof TestPromisesUnderFaults
+mutant "at most once: guarded requests are retried" internal/core/router/answers.go \
+  's/if row\.guarded\(\) \|\| !router\.retries/if !router.retries/' $proof TestPromisesUnderFaults
+mutant "at most once: no key table" internal/core/gate/reservations.go \
+  's/if reserve\.Key != \(message\.Digest\{\}\) && !gate\.admitKey/if false \&\& !gate.admitKey/' $proof TestPromisesUnderFaults
+mutant "at most once: the transport may send again" internal/node/upstream/upstream.go \
+  's/client = upstream\.single/client = upstream.shared/' ./internal/node/upstream TestNothingIsSentTwice
+mutant "true not-run: unknown requests are said not-run" internal/core/gate/reservations.go \
+  's/gate\.send\(peer, message\.End\{ID: id, Outcome: message\.Unknown, Reason: message\.Lost\}\)/gate.answerRefused(now, peer, id, message.Lost)/' \
+  ./internal/core/gate TestAttachAfterLoss
+mutant "true not-run: a lost run is said not-run" internal/core/router/answers.go \
+  's/row\.mayHaveRun = true/row.mayHaveRun = false/' $proof TestPromisesUnderFaults
+mutant "true not-run: old pushes run" internal/core/gate/reservations.go \
+  's/now-reserve\.Echo > gate\.settings\.PushLease/false/' ./internal/core/gate TestLateFrames
+mutant "true not-run: grants need no live claim" internal/core/gate/reservations.go \
+  's/\|\| now >= row\.deadline \{/{/' ./internal/core/gate TestLateFrames
+mutant "whole answers: parts are passed on unordered" internal/core/router/answers.go \
+  's/if chunk\.Index < row\.next \{/if false {/' $proof TestPromisesUnderFaults
+mutant "whole answers: an end without all parts is complete" internal/core/router/answers.go \
+  's/case whole && end\.Chunks != row\.next:/case false:/' $proof TestPromisesUnderFaults
+mutant "own answers: attempts share an ID" internal/core/router/requests.go \
+  's/row\.wire = row\.request\.ID\.WithAttempt\(row\.attempts\)/row.wire = row.request.ID.WithAttempt(1)/' $proof TestPromisesUnderFaults
+mutant "configuration: an older version is taken" internal/config/spread/spread.go \
+  's/parsed\.Version <= spread\.document\.Version/false/' $proof TestPromisesUnderFaults
+mutant "configuration: entries do not pull from sidecars" internal/config/spread/spread.go \
+  's/if version <= spread\.document\.Version \{/if true {/' $proof TestConfigurationSpreads
+mutant "configuration: no grace for peers at boot" internal/core/router/router.go \
+  's/if heard < readyPeers && .*/if false {/' $proof TestBootingEntryDoesNotServeAnOlderVersion
+mutant "order: no floor" internal/policy/tiered/tiered.go \
+  's/if queue\.floorEvery > 0 && /if false \&\& /' ./internal/core/gate TestLowestClassRuns
+mutant "order: no place of its own for a class" internal/policy/tiered/tiered.go \
+  's/ \|\| queue\.laneFor\(item\.Tier, item\.Class\)\.count == 0//' ./internal/core/gate TestLowestClassRuns
+mutant "order: a victim of any tier" internal/policy/tiered/tiered.go \
+  's/if lane\.tier <= tier \|\| lane\.count < 2/if lane.count < 2/' ./internal/policy/tiered TestVictim
+mutant "leaving: reservations at a leaving sidecar stay" internal/core/gate/reservations.go \
+  's/case gate\.draining:/case false:/' $proof 'TestLeaving|TestDrain'
+mutant "drain: it does not wait for answers to arrive" internal/core/gate/reservations.go \
+  's/ \|\| gate\.owesAnswers\(now\)//' $proof 'TestDrain'
+mutant "crash blame: no refusal" internal/core/suspects/suspects.go \
+  's/RefuseFrom = 2/RefuseFrom = 9/' $proof TestCrashingRequestIsStopped
+mutant "limit: the mean in place of the late share" internal/policy/learned/learned.go \
+  's/case learned\.late > mostLate:/case learned.late > 0.5:/' ./internal/policy/learned TestLimitKeepsTheTarget
+exit $survived
