--- a/internal/command/verbs/entry.go
+++ b/internal/command/verbs/entry.go
@@ -49,6 +49,9 @@
 	"fifo": func(tiered.Floor) order.Policy[message.RequestID] { return fifo.New[message.RequestID]() },
 }
 
+// sheddings lists the ways to shed by the name that the flag takes.
+var sheddings = map[string]bool{"late": true, "none": false}
+
 func choose[V any](flag, name string, choices map[string]V) (V, error) {
 	if chosen, ok := choices[name]; ok {
 		return chosen, nil
@@ -79,6 +82,7 @@
 		textFlag("placement", "placement of requests: late-binding, better-two, least-load, round-robin", "late-binding"),
 		numberFlag("reservations", "reservations for each request when binding late", defaultReservations),
 		numberFlag("waiting-bound", "most requests that wait here", defaultWaitingBound),
+		textFlag("shed", "what to give up early: late (what would miss its target while others wait), none", "late"),
 		numberFlag("subset", "most sidecars of a role to keep connections to", defaultSubset),
 		numberFlag("watchers", "entries of a failure domain that watch the configuration service", defaultWatchers),
 		durationFlag("list-every", "time between two reads of the list of VMs", defaultListEvery),
@@ -99,7 +103,8 @@
 func entrySettings(ctx *cli.Context) (settings entry.Settings, err error) {
 	place, placeErr := choose("placement", ctx.String("placement"), placements)
 	queue, queueErr := choose("order", ctx.String("order"), orders)
-	faults := errors.Join(checkProcess(ctx), placeErr, queueErr,
+	shedLate, shedErr := choose("shed", ctx.String("shed"), sheddings)
+	faults := errors.Join(checkProcess(ctx), placeErr, queueErr, shedErr,
 		checkAddress("listen", ctx.String("listen")),
 		checkAddress("admin", ctx.String("admin")),
 		checkPositive(ctx, "reservations", "waiting-bound", "subset", "watchers"),
@@ -118,6 +123,7 @@
 		Placement:    place(ctx.Int("reservations")),
 		Waiting:      queue(floorOf(ctx)),
 		WaitingBound: ctx.Int("waiting-bound"),
+		ShedLate:     shedLate,
 		Subset:       ctx.Int("subset"),
 		Watchers:     ctx.Int("watchers"),
 		Heartbeat:    ctx.Duration("heartbeat"),
--- a/internal/core/router/placing.go
+++ b/internal/core/router/placing.go
@@ -15,7 +15,7 @@
 func (router *Router) place(now time.Duration, row requestRow) {
 	router.requests.Put(row.request.ID, row)
 	if row.state == waiting {
-		router.requestDue.Set(row.request.ID, row.deadline)
+		router.requestDue.Set(row.request.ID, row.nextDue(now))
 	}
 	candidates := router.untried(row)
 	if len(candidates) == 0 || len(row.refused) >= mostRefusals {
@@ -34,6 +34,14 @@
 	router.requests.Put(row.request.ID, row)
 }
 
+// nextDue returns when a waiting request is looked at again.
+func (row requestRow) nextDue(now time.Duration) time.Duration {
+	if now < row.lateAt {
+		return row.lateAt
+	}
+	return row.deadline
+}
+
 func (router *Router) placeLater(now time.Duration, row requestRow) {
 	if len(row.reserved) > 0 {
 		return
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -34,6 +34,7 @@
 	since      time.Duration
 	next       int
 	base       int
+	lateAt     time.Duration
 	deadline   time.Duration
 	detached   bool
 	mayHaveRun bool
@@ -118,6 +119,10 @@
 
 func (router *Router) submit(now time.Duration, request event.Request) {
 	row := requestRow{request: request, deadline: now + time.Duration(request.Class.GiveUpAfter)}
+	row.lateAt = row.deadline
+	if router.settings.ShedLate && request.Class.FirstToken > 0 {
+		row.lateAt = now + time.Duration(float64(request.Class.FirstToken)*startShare)
+	}
 	if reason, retryAfter := router.unwelcome(now, request); reason != message.NoReason {
 		router.emit(event.Finish{ID: request.ID, Outcome: message.NotRun, Reason: reason, RetryAfter: retryAfter})
 		return
@@ -244,6 +249,19 @@
 	router.requestDue.Set(id, now+recallGrace)
 }
 
+// shedLate gives up a request that has waited so long that it would miss its
+// target, if others wait too: running it would make them miss theirs. Without
+// contention it may still run late.
+func (router *Router) shedLate(now time.Duration, row requestRow) {
+	for _, candidate := range router.candidates(row.request) {
+		if candidate.Load.Queued == 0 {
+			router.requestDue.Set(row.request.ID, row.deadline)
+			return
+		}
+	}
+	router.giveUp(now, row, message.Overload)
+}
+
 // expireRequests ends the requests that are due: waiting past their deadline,
 // detached for too long, or recalled without an answer.
 func (router *Router) expireRequests(now time.Duration) {
@@ -253,6 +271,8 @@
 			continue
 		}
 		switch {
+		case row.state == waiting && now < row.deadline:
+			router.shedLate(now, row)
 		case row.state == waiting:
 			router.giveUp(now, row, message.DeadlinePassed)
 		case row.state == recalled:
--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -59,6 +59,9 @@
 	AttachFor         time.Duration
 	ReadyGrace        time.Duration
 	RedialAfter       time.Duration
+	// ShedLate gives up requests that can no longer meet their target while
+	// others wait.
+	ShedLate bool
 }
 
 const (
@@ -68,8 +71,11 @@
 	mostRefusals   = 4
 	readyPeers     = 3
 	shortestReturn = time.Second
-	recallGrace    = 2 * time.Second
-	mostDoublings  = 5
+	// startShare is the part of the target for the first token that a request
+	// may spend waiting; the rest is for the upstream.
+	startShare    = 0.8
+	recallGrace   = 2 * time.Second
+	mostDoublings = 5
 )
 
 // New returns a router without peers or configuration.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -59,6 +59,7 @@
 	Placement    placement.Policy
 	Waiting      order.Policy[message.RequestID]
 	WaitingBound int
+	ShedLate     bool
 	Subset       int
 	Watchers     int
 	Heartbeat    time.Duration
@@ -104,6 +105,7 @@
 		Waiting:           settings.Waiting,
 		Random:            rand.New(rand.NewPCG(settings.Boot, settings.Boot)),
 		WaitingBound:      settings.WaitingBound,
+		ShedLate:          settings.ShedLate,
 		SubsetSize:        settings.Subset,
 		WatchersPerDomain: settings.Watchers,
 		PushLease:         pushLease,
