Count late first tokens apart from later ones when learning the limit

Cause: the engine queued work inside, out of reach of tiers and shedding. The limit grew because there is one first token for some forty later ones, which hid the late ones. Ruled out: the shedding itself; no request was refused later than its 80% (refused P99 1603 ms).

Change: two shares; an upstream may take a quarter of the first token's target.

Limits stood at 15 to 21 with engines of batch 16.

--- a/internal/core/gate/runs.go
+++ b/internal/core/gate/runs.go
@@ -97,24 +97,36 @@
 	gate.sendAll(run, chunk)
 }
 
+// upstreamShare is the part of the target for the first token, as a divisor,
+// that the upstream may take by itself. More means that it queues work inside,
+// out of reach of the tiers and of shedding here.
+const upstreamShare = 4
+
 // measure compares the upstream's pace with the class's targets.
 func (gate *Gate) measure(now time.Duration, run runRow) {
 	class, ok := gate.config.Document().Class(run.reserve.Class)
 	if !ok {
 		return
 	}
-	target := time.Duration(class.BetweenTokens)
 	if run.next == 0 {
-		target = time.Duration(class.FirstToken)
+		return
+	}
+	first := run.next == run.reserve.ResumeFrom+1
+	target := time.Duration(class.BetweenTokens)
+	since := run.latest
+	if first {
+		target = time.Duration(class.FirstToken) / upstreamShare
+		since = run.started
 	}
-	gate.observe(now, now-run.latest, target)
+	gate.observe(now, now-since, target, first)
 }
 
-func (gate *Gate) observe(now, measured, target time.Duration) {
+func (gate *Gate) observe(now, measured, target time.Duration, first bool) {
 	if target <= 0 {
 		return
 	}
-	gate.settings.Limit.Observe(now, limit.Sample{Ratio: float64(measured) / float64(target), Running: gate.running})
+	ratio := float64(measured) / float64(target)
+	gate.settings.Limit.Observe(now, limit.Sample{Ratio: ratio, Running: gate.running, First: first})
 }
 
 func (gate *Gate) sendAll(run runRow, chunk message.Chunk) {
@@ -189,7 +201,7 @@
 	gate.serviceTime += (took - gate.serviceTime) / serviceSmooth
 	class, ok := gate.config.Document().Class(run.reserve.Class)
 	if ok && class.FirstToken == 0 {
-		gate.observe(now, took, time.Duration(class.WholeAnswer))
+		gate.observe(now, took, time.Duration(class.WholeAnswer), true)
 	}
 }
 
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -11,8 +11,10 @@
 }
 
 // Sample is one measurement against a class's target. Ratio is the measured
-// time over the target; 1 means just met.
+// time over the target; 1 means just met. First marks the time to a first token,
+// of which there is one for each run, against many times between tokens.
 type Sample struct {
 	Ratio   float64
 	Running int
+	First   bool
 }
