Leave a request as much time at the upstream as the upstream may take

Cause: a request could wait 80% of its target and the upstream take 25% more. Change: give up at 70%.

--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -73,7 +73,7 @@
 	shortestReturn = time.Second
 	// startShare is the part of the target for the first token that a request
 	// may spend waiting; the rest is for the upstream.
-	startShare    = 0.8
+	startShare    = 0.7
 	recallGrace   = 2 * time.Second
 	mostDoublings = 5
 )
