--- a/internal/command/verbs/entry.go
+++ b/internal/command/verbs/entry.go
@@ -25,7 +25,7 @@
 const (
 	defaultReservations = 2
 	defaultWaitingBound = 4096
-	defaultSubset       = 64
+	defaultSubset       = 24
 	defaultWatchers     = 2
 	defaultListEvery    = time.Second
 	defaultFloorWait    = 5 * time.Second
--- a/internal/command/verbs/sidecar.go
+++ b/internal/command/verbs/sidecar.go
@@ -16,7 +16,7 @@
 const (
 	defaultStartLimit = 8
 	defaultMostLimit  = 256
-	defaultKeyBound   = 100_000
+	defaultKeyBound   = 50_000
 	defaultClockSkew  = 5 * time.Second
 	defaultFirstByte  = 2 * time.Minute
 	defaultStall      = 20 * time.Second
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -21,6 +21,7 @@
 	Classes      []Class    `json:"classes"`
 	Accounts     []Account  `json:"accounts"`
 	Upstreams    []Upstream `json:"upstreams"`
+	sum          Sum
 }
 
 // Class is a class of work with its targets. Tier 1 is the highest.
@@ -88,7 +89,7 @@
 	if faults := document.faults(); len(faults) > 0 {
 		return Document{}, errors.Join(faults...)
 	}
-	return document.withDefaults(), nil
+	return document.withDefaults().withSum(), nil
 }
 
 // describeSyntax adds the line to a JSON error, which carries an offset only.
--- a/internal/config/document/document_test.go
+++ b/internal/config/document/document_test.go
@@ -86,16 +86,22 @@
 	return parsed
 }
 
+// withStray returns the text of the document with one upstream more.
+func withStray(t *rapid.T, from document.Document) []byte {
+	from.Upstreams = append([]document.Upstream{{Name: "stray", Model: "m"}}, from.Upstreams...)
+	raw, err := json.Marshal(from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
 // TestPatchLeadsToTheSameDocument: from any document to any other; and it fits
 // no document of another version or content.
 func TestPatchLeadsToTheSameDocument(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		from, to := drawDocument(t, 1), drawDocument(t, 2)
-		raw, err := from.Apply(document.Diff(from, to))
-		if err != nil {
-			t.Fatal(err)
-		}
-		applied, err := document.Parse(raw)
+		applied, err := from.Apply(document.Diff(from, to))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -106,8 +112,15 @@
 		if _, err := to.Apply(document.Diff(from, to)); !errors.Is(err, document.ErrPatch) {
 			t.Fatalf("it fits another version: %v", err)
 		}
-		other := from
-		other.Upstreams = append([]document.Upstream{{Name: "stray", Model: "m"}}, from.Upstreams...)
+		stray := document.Diff(from, to)
+		stray.Upstreams.Put = append(stray.Upstreams.Put, document.Upstream{Name: "stray", Model: "m"})
+		other, err := document.Parse(withStray(t, from))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := from.Apply(stray); !errors.Is(err, document.ErrPatch) {
+			t.Fatalf("a changed patch fits: %v", err)
+		}
 		if _, err := other.Apply(document.Diff(from, to)); !errors.Is(err, document.ErrPatch) {
 			t.Fatalf("it fits another content: %v", err)
 		}
--- a/internal/config/document/patch.go
+++ b/internal/config/document/patch.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,7 +21,7 @@
 	Classes      Rows[Class]    `json:"classes"`
 	Accounts     Rows[Account]  `json:"accounts"`
 	Upstreams    Rows[Upstream] `json:"upstreams"`
-	Sum          []byte         `json:"sum"`
+	Sum          Sum            `json:"sum"`
 }
 
 // Rows is the difference in one list of a document.
@@ -41,31 +42,31 @@
 		Classes:      diffRows(from.Classes, to.Classes, className),
 		Accounts:     diffRows(from.Accounts, to.Accounts, accountName),
 		Upstreams:    diffRows(from.Upstreams, to.Upstreams, upstreamName),
-		Sum:          to.sum(),
+		Sum:          to.sum,
 	}
 }
 
-// Apply returns the text of the document after the patch, checked like any
-// other. It returns ErrPatch if the patch is for another version or does not
-// lead to the document that its sender has.
-func (document Document) Apply(patch Patch) (raw []byte, err error) {
+// Apply returns the document after the patch, checked like any other. It returns
+// ErrPatch if the patch is for another version or does not lead to the document
+// that its sender has. It costs a pass over the rows, and hashes the changed
+// ones only.
+func (document Document) Apply(patch Patch) (applied Document, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("patch from version %d to %d: %w", patch.From, patch.Version, err)
 		}
 	}()
 	if document.Version != patch.From {
-		return nil, ErrPatch
+		return Document{}, ErrPatch
 	}
-	document.Version = patch.Version
-	document.RepeatWindow = patch.RepeatWindow
-	document.Classes = applyRows(document.Classes, patch.Classes, className)
-	document.Accounts = applyRows(document.Accounts, patch.Accounts, accountName)
-	document.Upstreams = applyRows(document.Upstreams, patch.Upstreams, upstreamName)
-	if string(document.sum()) != string(patch.Sum) {
-		return nil, ErrPatch
+	applied = Document{Version: patch.Version, RepeatWindow: patch.RepeatWindow, sum: document.sum}
+	applied.Classes = applyRows(&applied.sum, document.Classes, patch.Classes, className)
+	applied.Accounts = applyRows(&applied.sum, document.Accounts, patch.Accounts, accountName)
+	applied.Upstreams = applyRows(&applied.sum, document.Upstreams, patch.Upstreams, upstreamName)
+	if applied.sum != patch.Sum {
+		return Document{}, ErrPatch
 	}
-	return json.Marshal(document)
+	return applied, errors.Join(applied.faults()...)
 }
 
 func className(class Class) string          { return class.Name }
@@ -92,7 +93,10 @@
 	return rows
 }
 
-func applyRows[R any](held []R, rows Rows[R], name func(R) string) []R {
+func applyRows[R any](sum *Sum, held []R, rows Rows[R], name func(R) string) []R {
+	if len(rows.Put) == 0 && len(rows.Gone) == 0 {
+		return held
+	}
 	put := make(map[string]R, len(rows.Put))
 	for _, row := range rows.Put {
 		put[name(row)] = row
@@ -101,11 +105,16 @@
 	for _, row := range rows.Gone {
 		gone[row] = true
 	}
-	var applied []R
+	applied := make([]R, 0, len(held)+len(rows.Put))
 	for _, row := range held {
-		if changed, ok := put[name(row)]; ok {
-			row = changed
+		changed, isChanged := put[name(row)]
+		if isChanged || gone[name(row)] {
+			*sum = sum.without(row)
+		}
+		if isChanged {
 			delete(put, name(row))
+			*sum = sum.with(changed)
+			row = changed
 		}
 		if !gone[name(row)] {
 			applied = append(applied, row)
@@ -113,24 +122,45 @@
 	}
 	for _, row := range rows.Put {
 		if _, added := put[name(row)]; added {
+			*sum = sum.with(row)
 			applied = append(applied, row)
 		}
 	}
 	return applied
 }
 
-// sum is the same for documents that differ in the order of their rows only.
-func (document Document) sum() []byte {
-	document.Classes = sorted(document.Classes, className)
-	document.Accounts = sorted(document.Accounts, accountName)
-	document.Upstreams = sorted(document.Upstreams, upstreamName)
-	raw, _ := json.Marshal(document)
-	sum := sha256.Sum256(raw)
-	return sum[:]
+// Sum identifies the content of a document, whatever the order of its rows. It
+// is the sum of the rows' hashes, so a changed row costs two hashes and not one
+// of the whole document.
+type Sum [2]uint64
+
+func (sum Sum) with(row any) Sum {
+	hash := hashRow(row)
+	return Sum{sum[0] + hash[0], sum[1] + hash[1]}
+}
+
+func (sum Sum) without(row any) Sum {
+	hash := hashRow(row)
+	return Sum{sum[0] - hash[0], sum[1] - hash[1]}
+}
+
+func hashRow(row any) Sum {
+	encoded, _ := json.Marshal(row)
+	hash := sha256.Sum256(fmt.Appendf(encoded, "%T", row))
+	return Sum{binary.BigEndian.Uint64(hash[:]), binary.BigEndian.Uint64(hash[8:])}
 }
 
-func sorted[R any](rows []R, name func(R) string) []R {
-	copied := append([]R{}, rows...)
-	sort.Slice(copied, func(i, j int) bool { return name(copied[i]) < name(copied[j]) })
-	return copied
+// withSum returns the document with the sum of all its rows.
+func (document Document) withSum() Document {
+	document.sum = Sum{}
+	for _, class := range document.Classes {
+		document.sum = document.sum.with(class)
+	}
+	for _, account := range document.Accounts {
+		document.sum = document.sum.with(account)
+	}
+	for _, upstream := range document.Upstreams {
+		document.sum = document.sum.with(upstream)
+	}
+	return document
 }
--- a/internal/config/spread/spread.go
+++ b/internal/config/spread/spread.go
@@ -61,12 +61,20 @@
 	if parsed.Version <= spread.document.Version {
 		return nil
 	}
-	spread.keepPatch(parsed)
-	spread.document = parsed
+	if spread.document.Version > 0 {
+		spread.keepPatch(document.Diff(spread.document, parsed))
+	}
+	return spread.accept(parsed, raw)
+}
+
+// accept puts a document in force. Raw may be nil: it is then encoded once a
+// peer asks for the whole.
+func (spread *Spread) accept(accepted document.Document, raw []byte) []event.Output {
+	spread.document = accepted
 	spread.raw = raw
 	spread.pulled = false
 	spread.whole = false
-	return []event.Output{event.DocumentAccepted{Document: parsed}}
+	return []event.Output{event.DocumentAccepted{Document: accepted}}
 }
 
 // Heard compares a peer's version with ours and asks for the document if the
@@ -95,35 +103,40 @@
 	}
 	var outputs []event.Output
 	for _, encoded := range config.Patches {
-		raw, err := spread.patched(encoded)
+		accepted, err := spread.apply(encoded)
 		if err != nil {
 			spread.whole = true
 			return append(outputs, event.DocumentRejected{Err: err})
 		}
-		outputs = append(outputs, spread.Offer(raw)...)
+		outputs = append(outputs, accepted...)
 	}
 	return outputs
 }
 
-func (spread *Spread) patched(encoded []byte) (raw []byte, err error) {
+func (spread *Spread) apply(encoded []byte) (outputs []event.Output, err error) {
 	var patch document.Patch
 	if err := json.Unmarshal(encoded, &patch); err != nil {
 		return nil, fmt.Errorf("class document: patch: %w", err)
 	}
-	return spread.document.Apply(patch)
+	if patch.Version <= spread.document.Version {
+		return nil, nil
+	}
+	applied, err := spread.document.Apply(patch)
+	if err != nil {
+		return nil, err
+	}
+	spread.keepPatch(patch)
+	return spread.accept(applied, nil), nil
 }
 
 // keepPatch remembers the way from the document in force to the next, for peers
 // that are as far as we are.
-func (spread *Spread) keepPatch(next document.Document) {
-	if spread.document.Version == 0 {
-		return
-	}
-	encoded, err := json.Marshal(document.Diff(spread.document, next))
+func (spread *Spread) keepPatch(patch document.Patch) {
+	encoded, err := json.Marshal(patch)
 	if err != nil {
 		return
 	}
-	spread.patches = append(spread.patches, link{from: spread.document.Version, patch: encoded})
+	spread.patches = append(spread.patches, link{from: patch.From, patch: encoded})
 	if len(spread.patches) > mostPatches {
 		spread.patches = spread.patches[1:]
 	}
@@ -148,7 +161,14 @@
 	}
 	answer := message.Config{Patches: spread.patchesFrom(pull.Have)}
 	if len(answer.Patches) == 0 {
-		answer.Raw = spread.raw
+		answer.Raw = spread.encoded()
 	}
 	return []event.Output{event.Send{Peer: peer, Link: link, Message: answer}}
 }
+
+func (spread *Spread) encoded() []byte {
+	if spread.raw == nil {
+		spread.raw, _ = json.Marshal(spread.document)
+	}
+	return spread.raw
+}
--- a/internal/core/proof/world_test.go
+++ b/internal/core/proof/world_test.go
@@ -35,6 +35,7 @@
 	service  bool
 	ledger   *ledger
 	policy   func() placement.Policy
+	subset   int
 	failures []string
 	trace    []string
 }
@@ -110,7 +111,7 @@
 	world := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), wires: make(map[string]*wire), cutOff: make(map[string]bool),
 		document: document, service: true, ledger: newLedger(),
-		policy: func() placement.Policy { return latebinding.New(2) },
+		policy: func() placement.Policy { return latebinding.New(2) }, subset: 16,
 	}
 	for i := range sidecars {
 		name := fmt.Sprintf("up-%d", i+1)
@@ -129,7 +130,7 @@
 	world.reset(node)
 	node.core = router.New(router.Settings{
 		Name: node.name, Placement: world.policy(), Waiting: tiered.New[message.RequestID](testFloor),
-		Random: rand.New(rand.NewPCG(node.boot, 2)), WaitingBound: 16, SubsetSize: 16, WatchersPerDomain: 2,
+		Random: rand.New(rand.NewPCG(node.boot, 2)), WaitingBound: 16, SubsetSize: world.subset, WatchersPerDomain: 2,
 		PushLease: time.Second, HeartbeatEvery: heartbeat, SilenceLimit: silence, AttachFor: 3 * time.Second,
 		ReadyGrace: time.Second, RedialAfter: 200 * time.Millisecond,
 	})
--- a/internal/core/router/placing.go
+++ b/internal/core/router/placing.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"endivepost/internal/core/event"
@@ -115,7 +116,7 @@
 func (router *Router) untried(row requestRow) []placement.Candidate {
 	var candidates []placement.Candidate
 	for _, candidate := range router.candidates(row.request) {
-		if !contains(row.refused, candidate.Name) && !contains(row.reserved, candidate.Name) {
+		if !slices.Contains(row.refused, candidate.Name) && !slices.Contains(row.reserved, candidate.Name) {
 			candidates = append(candidates, candidate)
 		}
 	}
@@ -132,7 +133,7 @@
 func (router *Router) reservation(now time.Duration, row requestRow) message.Reserve {
 	request := row.request
 	crashes, _ := router.suspects.Crashes(now, request.Fingerprint)
-	return message.Reserve{
+	reserve := message.Reserve{
 		ID:          row.wire,
 		Class:       request.Class.Name,
 		Account:     request.Account,
@@ -140,12 +141,15 @@
 		Budget:      row.deadline - now,
 		Fingerprint: request.Fingerprint,
 		Guarded:     row.guarded(),
-		Key:         request.Key,
-		KeyBorn:     request.KeyBorn,
-		BodySum:     request.BodySum,
 		ResumeFrom:  row.base,
 		Crashes:     crashes,
 	}
+	if request.Key != (message.Digest{}) {
+		reserve.Key = request.Key
+		reserve.KeyBorn = request.KeyBorn
+		reserve.BodySum = request.BodySum
+	}
+	return reserve
 }
 
 func (router *Router) push(now time.Duration, row requestRow, name string) {
@@ -161,7 +165,7 @@
 // takeClaim grants the first claim of an attempt and takes the rest back.
 func (router *Router) takeClaim(now time.Duration, name string, claim message.Claim) {
 	row, ok := router.current(claim.ID)
-	if !ok || row.state != waiting || !contains(row.reserved, name) {
+	if !ok || row.state != waiting || !slices.Contains(row.reserved, name) {
 		router.send(name, message.Withdraw(claim))
 		return
 	}
@@ -192,13 +196,13 @@
 		return
 	}
 	switch {
-	case row.state == waiting && contains(row.reserved, name) && refused.Reason == message.UpstreamDown:
+	case row.state == waiting && slices.Contains(row.reserved, name) && refused.Reason == message.UpstreamDown:
 		router.distrustLoad(name, refused.Reason)
 		row = row.WithoutReserved(name)
 		if len(row.reserved) == 0 {
 			row = row.WithAttempt()
 		}
-	case row.state == waiting && contains(row.reserved, name):
+	case row.state == waiting && slices.Contains(row.reserved, name):
 		row = row.WithoutReserved(name).WithRefused(name, refused)
 	case row.peer != name:
 		return
@@ -265,7 +269,7 @@
 func (router *Router) withdrawFrom(now time.Duration, name string) {
 	for _, id := range router.requests.Keys() {
 		row, ok := router.requests.Get(id)
-		if !ok || row.state != waiting || !contains(row.reserved, name) {
+		if !ok || row.state != waiting || !slices.Contains(row.reserved, name) {
 			continue
 		}
 		router.send(name, message.Withdraw{ID: row.wire})
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"endivepost/internal/core/event"
@@ -61,7 +62,7 @@
 
 // WithoutReserved returns the row without a reservation at the sidecar.
 func (row requestRow) WithoutReserved(name string) requestRow {
-	row.reserved = without(row.reserved, name)
+	row.reserved = slices.DeleteFunc(slices.Clone(row.reserved), func(other string) bool { return other == name })
 	return row
 }
 
@@ -94,25 +95,6 @@
 	return row
 }
 
-func without(names []string, name string) []string {
-	var kept []string
-	for _, other := range names {
-		if other != name {
-			kept = append(kept, other)
-		}
-	}
-	return kept
-}
-
-func contains(names []string, name string) bool {
-	for _, other := range names {
-		if other == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (row requestRow) guarded() bool {
 	return row.request.Class.NonIdempotent
 }
--- a/internal/load/capacity/cores.go
+++ b/internal/load/capacity/cores.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"endivepost/internal/config/document"
@@ -54,6 +55,7 @@
 		}},
 		{"all: memory of the class document, by accounts", "B", rows, func(size int) float64 {
 			raw := documentOf(size, 64)
+			defer runtime.KeepAlive(raw)
 			return heapOf(func() any { parsed, _ := document.Parse(raw); return parsed })
 		}},
 		{"all: size of a change of one account, by accounts", "B", rows, func(size int) float64 {
@@ -65,9 +67,7 @@
 			before, after := changedDocument(size)
 			patch := document.Diff(before, after)
 			return microsOf(func() {
-				raw, _ := before.Apply(patch)
-				_, _ = document.Parse(raw)
-				_ = document.Diff(before, after)
+				_, _ = before.Apply(patch)
 			})
 		}},
 		{"all: memory of an idle connection, both ends", "B", []int{16, 64, 256, 512}, linkMemory},
@@ -94,9 +94,11 @@
 // changedDocument returns a document before and after a change of one account.
 func changedDocument(accounts int) (before, after document.Document) {
 	before, _ = document.Parse(documentOf(accounts, 64))
-	after, _ = document.Parse(documentOf(accounts, 64))
-	after.Version++
-	after.Accounts[0].Classes = []string{"class-1"}
+	changed, _ := document.Parse(documentOf(accounts, 64))
+	changed.Version++
+	changed.Accounts[0].Classes = []string{"class-1"}
+	raw, _ := json.Marshal(changed)
+	after, _ = document.Parse(raw)
 	return before, after
 }
 
--- a/internal/load/capacity/messages.go
+++ b/internal/load/capacity/messages.go
@@ -23,8 +23,9 @@
 	load := message.Load{Limit: 30, Running: 28, Queued: 12, Wait: time.Second}
 	reserve := message.Reserve{
 		ID: id, Class: "guide", Account: "dakar-desk", Tier: 1, Budget: 3600 * time.Millisecond, Fingerprint: 1 << 62,
-		BodySum: message.Digest{1},
 	}
+	keyed := reserve
+	keyed.Key, keyed.BodySum, keyed.KeyBorn = message.Digest{1}, message.Digest{1}, time.Unix(1_800_000_000, 0)
 	pushed := reserve
 	pushed.Echo = echo
 	pushed.Payload = &message.Payload{}
@@ -34,6 +35,7 @@
 	}{
 		{"heartbeat", message.Heartbeat{Uptime: echo, Echo: echo, ConfigVersion: 1 << 20, Load: load}},
 		{"reserve", reserve},
+		{"reserve with a key", keyed},
 		{"reserve with a push, without the body", pushed},
 		{"claim", message.Claim{ID: id}},
 		{"grant, without the body", message.Grant{ID: id}},
--- a/internal/node/caller/reply.go
+++ b/internal/node/caller/reply.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,6 +40,8 @@
 	Slow       int
 }
 
+var endMark = []byte("data: [DONE]")
+
 // ErrAnswerTooLarge is returned for an answer that cannot be held until it is whole.
 var ErrAnswerTooLarge = errors.New("the answer is too large to hold until it is whole")
 
@@ -89,7 +92,9 @@
 		reply.body = nil
 		return nil
 	}
-	reply.measure(time.Now())
+	if !bytes.HasPrefix(chunk.Data, endMark) {
+		reply.measure(time.Now())
+	}
 	reply.body = append(reply.body, chunk.Data...)
 	if len(reply.body) > MaxAnswerBytes {
 		return ErrAnswerTooLarge
@@ -152,6 +157,7 @@
 		reply.trail(finish)
 		return nil
 	case whole:
+		reply.countTokens()
 		reply.begin(finish.Outcome.String())
 		_, err := reply.writer.Write(reply.body)
 		return err
@@ -161,6 +167,22 @@
 	return reply.refuse(finish)
 }
 
+// usage is the part of an answer that is not streamed which tells its length.
+type usage struct {
+	Usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+// countTokens takes the length of an answer that is not streamed from the answer;
+// that of a plain service counts as one.
+func (reply *Reply) countTokens() {
+	var told usage
+	if json.Unmarshal(reply.body, &told) == nil && told.Usage.CompletionTokens > 0 {
+		reply.tokens = told.Usage.CompletionTokens
+	}
+}
+
 // closeCutOff marks a stream as incomplete: an error event, and no end mark.
 func (reply *Reply) closeCutOff(finish event.Finish) error {
 	if err := reply.flush(); err != nil {
--- a/internal/policy/latebinding/latebinding.go
+++ b/internal/policy/latebinding/latebinding.go
@@ -21,8 +21,8 @@
 }
 
 // Choose implements placement.Policy. A candidate known to be idle is pushed to
-// at once, which saves a round trip; the affine candidate is preferred. Idle
-// leaves half of the slots as margin, since other entries see the same load.
+// at once, which saves a round trip. Idle leaves half of the slots as margin,
+// since other entries see the same load.
 func (policy *Policy) Choose(_ time.Duration, random *rand.Rand, candidates []placement.Candidate) placement.Choice {
 	if len(candidates) == 0 {
 		return placement.Choice{}
@@ -31,19 +31,9 @@
 	if idle, ok := pickIdle(candidates, order); ok {
 		return placement.Choice{Names: []string{idle}, Push: true}
 	}
-	var names []string
-	for _, candidate := range candidates {
-		if candidate.Affine {
-			names = append(names, candidate.Name)
-		}
-	}
-	for _, place := range order {
-		if len(names) >= policy.reservations {
-			break
-		}
-		if !candidates[place].Affine {
-			names = append(names, candidates[place].Name)
-		}
+	names := make([]string, 0, policy.reservations)
+	for _, place := range order[:min(policy.reservations, len(order))] {
+		names = append(names, candidates[place].Name)
 	}
 	return placement.Choice{Names: names}
 }
@@ -55,9 +45,6 @@
 		if candidate.Load.Queued > 0 || 2*candidate.Occupied() >= candidate.Load.Limit {
 			continue
 		}
-		if candidate.Affine {
-			return candidate.Name, true
-		}
 		if !found || candidate.Occupied() < best.Occupied() {
 			best, found = candidate, true
 		}
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -20,7 +20,6 @@
 	Name     string
 	Load     message.Load
 	InFlight int
-	Affine   bool
 }
 
 // Choice is the result of a Policy.
--- a/internal/wire/message/message.go
+++ b/internal/wire/message/message.go
@@ -165,9 +165,9 @@
 	Budget      time.Duration `cbor:"5,keyasint"`
 	Fingerprint uint64        `cbor:"6,keyasint,omitempty"`
 	Guarded     bool          `cbor:"7,keyasint,omitempty"`
-	Key         Digest        `cbor:"8,keyasint,omitempty"`
-	KeyBorn     time.Time     `cbor:"9,keyasint,omitempty"`
-	BodySum     Digest        `cbor:"10,keyasint,omitempty"`
+	Key         Digest        `cbor:"8,keyasint,omitzero"`
+	KeyBorn     time.Time     `cbor:"9,keyasint,omitzero"`
+	BodySum     Digest        `cbor:"10,keyasint,omitzero"`
 	Echo        time.Duration `cbor:"11,keyasint,omitempty"`
 	ResumeFrom  int           `cbor:"12,keyasint,omitempty"`
 	Payload     *Payload      `cbor:"13,keyasint,omitempty"`
