--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -77,7 +77,7 @@
 		return event.Request{}, err
 	}
 	resolved.Payload.Guarded = resolved.Class.NonIdempotent
-	resolved.Payload.Header = forwardedHeader(request.Header)
+	resolved.Payload.Header = message.HeadersOf(request.Header, keptBack)
 	return withIdentity(request, resolved)
 }
 
@@ -193,20 +193,8 @@
 	return time.Unix(seconds, nanoseconds)
 }
 
+// keptBack are the header fields of a caller that are not for the upstream.
 var keptBack = map[string]bool{
 	"Authorization": true, "Connection": true, "Content-Length": true, "Transfer-Encoding": true, "Traceparent": true,
 	"Accept-Encoding": true, "Keep-Alive": true, "Upgrade": true, "Te": true, "Trailer": true, HeaderClass: true,
 }
-
-func forwardedHeader(header http.Header) []message.Header {
-	var forwarded []message.Header
-	for name, values := range header {
-		if keptBack[name] {
-			continue
-		}
-		for _, value := range values {
-			forwarded = append(forwarded, message.Header{Name: name, Value: value})
-		}
-	}
-	return forwarded
-}
--- a/internal/node/caller/reply.go
+++ b/internal/node/caller/reply.go
@@ -135,6 +135,7 @@
 		return
 	}
 	reply.begun = true
+	_ = http.NewResponseController(reply.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
 	header := reply.writer.Header()
 	for _, field := range reply.head.Header {
 		header.Add(field.Name, field.Value)
--- /dev/null
+++ b/internal/node/httpserver/httpserver_test.go
@@ -0,0 +1,40 @@
+package httpserver_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"endivepost/internal/node/httpserver"
+)
+
+// TestDeadlineEndsWithItsRequest: a write deadline that one request sets must not
+// break the next on the same connection.
+func TestDeadlineEndsWithItsRequest(t *testing.T) {
+	handler := func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.WriteString(writer, request.RemoteAddr)
+		if request.URL.Path == "/first" {
+			_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		}
+	}
+	server, err := httpserver.Listen("127.0.0.1:0", http.HandlerFunc(handler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	var addresses []string
+	for _, path := range []string{"/first", "/second"} {
+		response, err := http.Get("http://" + server.Address() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		addresses = append(addresses, string(body))
+		time.Sleep(100 * time.Millisecond)
+	}
+	if addresses[0] != addresses[1] {
+		t.Fatalf("the second request came by another connection, %v: it proves nothing", addresses)
+	}
+}
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -152,7 +152,7 @@
 		return upstream.failure(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	upstream.tell(event.UpstreamAnswered{ID: start.ID, Status: response.StatusCode, Header: keepHeader(response.Header)})
+	upstream.tell(event.UpstreamAnswered{ID: start.ID, Status: response.StatusCode, Header: message.HeadersOf(response.Header, droppedHeaders)})
 	err = upstream.relay(start, response, watchdog)
 	if err != nil {
 		return upstream.failure(ctx, err)
@@ -274,19 +274,7 @@
 	}
 }
 
+// droppedHeaders are the fields of an answer that hold for one connection only.
 var droppedHeaders = map[string]bool{
 	"Connection": true, "Transfer-Encoding": true, "Keep-Alive": true, "Date": true, "Content-Length": true,
 }
-
-func keepHeader(header http.Header) []message.Header {
-	var kept []message.Header
-	for name, values := range header {
-		if droppedHeaders[name] {
-			continue
-		}
-		for _, value := range values {
-			kept = append(kept, message.Header{Name: name, Value: value})
-		}
-	}
-	return kept
-}
--- /dev/null
+++ b/internal/wire/message/header.go
@@ -0,0 +1,21 @@
+package message
+
+import (
+	"maps"
+	"slices"
+)
+
+// HeadersOf returns the fields of an HTTP header, in the order of their names,
+// without those that are dropped.
+func HeadersOf(header map[string][]string, dropped map[string]bool) []Header {
+	var kept []Header
+	for _, name := range slices.Sorted(maps.Keys(header)) {
+		if dropped[name] {
+			continue
+		}
+		for _, value := range header[name] {
+			kept = append(kept, Header{Name: name, Value: value})
+		}
+	}
+	return kept
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -9,7 +9,8 @@
 
 # mutant NAME FILE SED_EXPRESSION PACKAGE TEST
 mutant() {
-  local name=$1 file=$2 expression=$3 package=$4 test=$5
+  local name=$1 file=$2 expression=$3 package=$4 test=$5 shrink=()
+  grep -rqs rapid.Check "$package" && shrink=(-rapid.shrinktime=1s)
   rm -rf "$copy/tree"
   mkdir "$copy/tree"
   git ls-files -z cmd internal go.mod go.sum | xargs -0 cp --parents -t "$copy/tree"
@@ -17,7 +18,7 @@
   if cmp -s "$file" "$copy/tree/$file"; then
     echo "stale    $name: the expression changes nothing in $file"
     survived=1
-  elif (cd "$copy/tree" && go vet "$package" >/dev/null 2>&1 && timeout 300 go test -count=1 -run "$test" "$package" >"$copy/log" 2>&1); then
+  elif (cd "$copy/tree" && go vet "$package" >/dev/null 2>&1 && timeout 300 go test -count=1 -run "$test" "$package" "${shrink[@]}" >"$copy/log" 2>&1); then
     echo "survived $name: $test still passes"
     survived=1
   elif grep -qE '^(--- FAIL|panic)|rapid\] failed' "$copy/log"; then
