Prove silence and leaving each by their own test, and bound dials

Cause: the list of promises named proofs that no mutant had made fail.

Result: the code needed no change.

--- a/internal/core/proof/leaving_test.go
+++ b/internal/core/proof/leaving_test.go
@@ -101,6 +101,21 @@
 	}
 }
 
+// TestDeadSidecarIsDialledSeldom: the delays between dials grow, and reading the
+// list again does not start them anew.
+func TestDeadSidecarIsDialledSeldom(t *testing.T) {
+	t.Parallel()
+	const mostDials = 25
+	world := newWorld(1, 1, 2, published(1, 2))
+	world.advance(3 * time.Second)
+	world.kill(world.sidecars[0], false)
+	before := world.dials
+	world.advance(time.Minute)
+	if dials := world.dials - before; dials > mostDials || dials == 0 {
+		t.Errorf("dialled %d times in a minute, at most %d", dials, mostDials)
+	}
+}
+
 // TestDrainedEntryIsNotWaitedFor: an entry that has drained says so, and a
 // sidecar that drains after it leaves at once and not after the time to attach.
 func TestDrainedEntryIsNotWaitedFor(t *testing.T) {
--- a/internal/core/proof/network_test.go
+++ b/internal/core/proof/network_test.go
@@ -22,6 +22,7 @@
 
 // dial opens a connection unless the other side is dead, frozen or cut off.
 func (world *world) dial(entry *node, wanted event.Dial) {
+	world.dials++
 	sidecar := world.find(wanted.Peer)
 	boot := entry.boot
 	world.after(world.jitter(5), func() {
--- a/internal/core/proof/world_test.go
+++ b/internal/core/proof/world_test.go
@@ -36,6 +36,7 @@
 	ledger   *ledger
 	policy   func() placement.Policy
 	subset   int
+	dials    int
 	failures []string
 	trace    []string
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,6 +72,16 @@
   's/if lane\.tier <= tier \|\| lane\.count < 2/if lane.count < 2/' ./internal/policy/tiered TestVictim
 mutant "leaving: reservations at a leaving sidecar stay" internal/core/gate/reservations.go \
   's/case gate\.draining:/case false:/' $proof 'TestLeaving|TestDrain'
+mutant "leaving: a signal changes nothing" internal/core/gate/dispatch.go \
+  's/gate\.draining = true/gate.draining = false/' $proof TestLeavingUpstreamGetsNoNewWork
+mutant "leaving: the list's word is not taken" internal/core/router/peers.go \
+  's/peer\.leaving = peer\.leaving \|\| member\.Leaving/peer.leaving = peer.leaving/' $proof TestLeavingUpstreamGetsNoNewWork
+mutant "leaving: silence is not noticed" internal/core/router/peers.go \
+  's/now-peer\.heard > router\.settings\.SilenceLimit/false/' $proof TestSilentConnectionIsReplaced
+mutant "order: a full queue refuses higher tiers" internal/policy/tiered/tiered.go \
+  's/if lowest == nil \{/if true {/' ./internal/core/gate TestHigherTierIsNeverShedForLower
+mutant "dials: no growing delay" internal/core/router/peers.go \
+  's/RedialAfter << \(peer\.failures - 1\)/RedialAfter/' $proof TestDeadSidecarIsDialledSeldom
 mutant "drain: it does not wait for answers to arrive" internal/core/gate/dispatch.go \
   's/ \|\| gate\.owesAnswers\(now\)//' $proof 'TestDrain'
 mutant "crash blame: no refusal" internal/core/suspects/suspects.go \
