--- /dev/null
+++ b/internal/command/verbs/platform_entry.go
@@ -0,0 +1,85 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/node/direct"
+	"endivepost/internal/node/logqueue"
+	"endivepost/internal/node/telemetry"
+	"endivepost/internal/policy/retrywindow"
+	"endivepost/platform"
+)
+
+const (
+	// logBound is the number of log lines that may wait for a slow reader.
+	logBound = 8192
+	// logFlush bounds the wait for the last lines at the end of the process.
+	logFlush = 200 * time.Millisecond
+)
+
+func platformEntryCommand() *cli.Command {
+	settings := requiredFlag("settings", "path of the platform's settings file")
+	settings.EnvVars = append(settings.EnvVars, platform.SettingsVariable)
+	return &cli.Command{
+		Flags: []cli.Flag{
+			settings,
+			textFlag("secret", "secret that authenticates our processes to each other", ""),
+			numberFlag("metrics-port", "port for scrapes of metrics on the entry's own IP, 0 for none", 0),
+			shareFlag("trace-share", "share of requests to trace, 0 to 1", 0),
+		},
+		Action: runPlatformEntry,
+	}
+}
+
+func runPlatformEntry(ctx *cli.Context) error {
+	read, err := platform.ReadSettings(ctx.String("settings"))
+	if err != nil {
+		return err
+	}
+	metrics, err := metricsAddress(read, ctx.Int("metrics-port"))
+	if err != nil {
+		return err
+	}
+	lines := logqueue.New(os.Stdout, logBound)
+	defer lines.Close(logFlush)
+	observe := telemetry.New(lines, read.Name, ctx.Float64("trace-share"))
+	defer observe.Close()
+	entry := direct.New(direct.Settings{
+		Name:           read.Name,
+		Domain:         read.Domain,
+		CallerAddress:  read.CallerAddress,
+		ReadyAddress:   read.ReadyAddress,
+		ReadyPath:      platform.ReadyPath,
+		PeerAddress:    read.PeerAddress,
+		MetricsAddress: metrics,
+		Peers:          read.Peers,
+		Secret:         ctx.String("secret"),
+		Boot:           newBoot(),
+		Dialect:        platform.Dialect{},
+		Retries:        retrywindow.Settings{Ratio: read.RetryRatio, Slack: read.RetrySlack, Span: read.RetrySpan},
+		Grace:          read.Grace,
+		Follow: func(following context.Context, tell func(event.Input)) {
+			platform.NewFollower(read.StoreAddress, observe.Log, tell).Run(following)
+		},
+	}, observe)
+	return entry.Run(ctx.Context)
+}
+
+func metricsAddress(read platform.Settings, port int) (string, error) {
+	if port == 0 {
+		return "", nil
+	}
+	host, _, err := net.SplitHostPort(read.CallerAddress)
+	if err != nil {
+		return "", fmt.Errorf("listen.front: %w", err)
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port)), nil
+}
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -21,7 +22,45 @@
 	Classes      []Class    `json:"classes"`
 	Accounts     []Account  `json:"accounts"`
 	Upstreams    []Upstream `json:"upstreams"`
-	sum          Sum
+	// Listed says that upstreams register themselves: the document names pools
+	// in place of single upstreams.
+	Listed bool   `json:"upstreams-listed,omitempty"`
+	Pools  []Pool `json:"pools,omitempty"`
+	Limits Limits `json:"limits,omitzero"`
+	sum    Sum
+}
+
+// Limits bound what a caller may send. Zero leaves the default of the process.
+type Limits struct {
+	HeaderBytes   int      `json:"header-bytes,omitempty"`
+	BodyBytes     int      `json:"body-bytes,omitempty"`
+	HeaderTimeout Duration `json:"header-timeout,omitempty"`
+	IdleTimeout   Duration `json:"idle-timeout,omitempty"`
+}
+
+// Pool is the group of upstreams that registers itself under one name.
+type Pool struct {
+	Name       string `json:"name"`
+	HealthPath string `json:"health-path,omitempty"`
+	// MostConnections bounds the connections to one upstream from all entries.
+	MostConnections int    `json:"most-connections,omitempty"`
+	Engine          Engine `json:"engine,omitzero"`
+}
+
+// Engine describes the model engines of a pool. The zero value is a plain service.
+type Engine struct {
+	// Batch is the number of requests that an engine runs at a time.
+	Batch int `json:"batch,omitempty"`
+	// CacheTokens is the size of its KV cache, which running requests share with
+	// kept prompt prefixes.
+	CacheTokens int `json:"cache-tokens,omitempty"`
+}
+
+// Share is the part of a class's requests that a pool serves, against the
+// weights of the others.
+type Share struct {
+	Pool   string `json:"pool"`
+	Weight int    `json:"weight"`
 }
 
 // Class is a class of work with its targets. Tier 1 is the highest.
@@ -34,15 +73,35 @@
 	BetweenTokens Duration `json:"between-tokens,omitempty"`
 	WholeAnswer   Duration `json:"whole-answer,omitempty"`
 	GiveUpAfter   Duration `json:"give-up-after,omitempty"`
+	// TimeLimit bounds the whole request, from its arrival to the end of its
+	// answer; 0 is no bound beside the caller's own.
+	TimeLimit     Duration `json:"time-limit,omitempty"`
 	NonIdempotent bool     `json:"non-idempotent,omitempty"`
+	// Host and PathPrefix select the class by a request's host and the longest
+	// prefix of its path, where callers name no class.
+	Host       string `json:"host,omitempty"`
+	PathPrefix string `json:"path-prefix,omitempty"`
+	// Streamed classes answer with server-sent events. Resumable ones may go on
+	// at another upstream behind the last event that was passed on.
+	Streamed  bool `json:"streamed,omitempty"`
+	Resumable bool `json:"resumable,omitempty"`
+	// MostAttempts bounds the upstreams that one request is sent to; 0 is no bound.
+	MostAttempts int `json:"most-attempts,omitempty"`
+	// Open classes need no key.
+	Open  bool    `json:"open,omitempty"`
+	Split []Share `json:"split,omitempty"`
 }
 
 // Account is a client account. Its bearer key is held as a SHA-256 sum only.
 type Account struct {
 	Name         string   `json:"name"`
 	KeySHA256    string   `json:"key-sha256"`
-	DefaultClass string   `json:"default-class"`
+	DefaultClass string   `json:"default-class,omitempty"`
 	Classes      []string `json:"classes,omitempty"`
+	// MoreKeys are further bearer keys, each as its SHA-256 sum.
+	MoreKeys []string `json:"more-keys-sha256,omitempty"`
+	// Tier goes before the tier of the class, unless it is 0.
+	Tier int `json:"tier,omitempty"`
 }
 
 // Upstream is an upstream by name and role; its address comes from the list of VMs.
@@ -150,13 +209,31 @@
 // AccountByKeySum returns the account whose bearer key has that SHA-256 sum.
 func (document Document) AccountByKeySum(sum string) (Account, bool) {
 	for _, account := range document.Accounts {
-		if account.KeySHA256 == sum {
+		if account.KeySHA256 == sum || slices.Contains(account.MoreKeys, sum) {
 			return account, true
 		}
 	}
 	return Account{}, false
 }
 
+// Pool returns the pool of that name and whether there is one.
+func (document Document) Pool(name string) (Pool, bool) {
+	for _, pool := range document.Pools {
+		if pool.Name == name {
+			return pool, true
+		}
+	}
+	return Pool{}, false
+}
+
+// Repeatable says whether a request of the class may run more than once.
+func (class Class) Repeatable() bool {
+	if class.Streamed {
+		return class.Resumable
+	}
+	return !class.NonIdempotent
+}
+
 // Serves returns the names of the upstreams with the class's role, in the
 // document's order.
 func (document Document) Serves(class Class) []string {
--- a/internal/config/document/patch.go
+++ b/internal/config/document/patch.go
@@ -21,6 +21,9 @@
 	Classes      Rows[Class]    `json:"classes"`
 	Accounts     Rows[Account]  `json:"accounts"`
 	Upstreams    Rows[Upstream] `json:"upstreams"`
+	Pools        Rows[Pool]     `json:"pools,omitzero"`
+	Listed       bool           `json:"upstreams-listed,omitempty"`
+	Limits       Limits         `json:"limits,omitzero"`
 	Sum          Sum            `json:"sum"`
 }
 
@@ -42,6 +45,9 @@
 		Classes:      diffRows(from.Classes, to.Classes, className),
 		Accounts:     diffRows(from.Accounts, to.Accounts, accountName),
 		Upstreams:    diffRows(from.Upstreams, to.Upstreams, upstreamName),
+		Pools:        diffRows(from.Pools, to.Pools, poolName),
+		Listed:       to.Listed,
+		Limits:       to.Limits,
 		Sum:          to.sum,
 	}
 }
@@ -59,10 +65,13 @@
 	if document.Version != patch.From {
 		return Document{}, ErrPatch
 	}
-	applied = Document{Version: patch.Version, RepeatWindow: patch.RepeatWindow, sum: document.sum}
+	applied = Document{
+		Version: patch.Version, RepeatWindow: patch.RepeatWindow, Listed: patch.Listed, Limits: patch.Limits, sum: document.sum,
+	}
 	applied.Classes = applyRows(&applied.sum, document.Classes, patch.Classes, className)
 	applied.Accounts = applyRows(&applied.sum, document.Accounts, patch.Accounts, accountName)
 	applied.Upstreams = applyRows(&applied.sum, document.Upstreams, patch.Upstreams, upstreamName)
+	applied.Pools = applyRows(&applied.sum, document.Pools, patch.Pools, poolName)
 	if applied.sum != patch.Sum {
 		return Document{}, ErrPatch
 	}
@@ -72,6 +81,7 @@
 func className(class Class) string          { return class.Name }
 func accountName(account Account) string    { return account.Name }
 func upstreamName(upstream Upstream) string { return upstream.Name }
+func poolName(pool Pool) string             { return pool.Name }
 
 func diffRows[R any](from, to []R, name func(R) string) Rows[R] {
 	before := make(map[string]R, len(from))
@@ -162,5 +172,8 @@
 	for _, upstream := range document.Upstreams {
 		document.sum = document.sum.with(upstream)
 	}
+	for _, pool := range document.Pools {
+		document.sum = document.sum.with(pool)
+	}
 	return document
 }
--- /dev/null
+++ b/internal/core/dispatch/dispatch.go
@@ -0,0 +1,287 @@
+// Package dispatch is the core of an entry that reaches upstreams without
+// sidecars: it decides where each request goes, when it is sent once more, and
+// when it is given up.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"endivepost/internal/config/spread"
+	"endivepost/internal/core/event"
+	"endivepost/internal/core/mesh"
+	"endivepost/internal/core/roster"
+	"endivepost/internal/core/suspects"
+	"endivepost/internal/data/agenda"
+	"endivepost/internal/data/table"
+	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/wire/message"
+)
+
+// Dispatcher holds the tables of one entry and the systems that run over them
+// in each step. One attempt belongs to one entry, so that a request runs at most
+// once without any state beside the upstream: a request that must not be
+// repeated is sent again only if the upstream says that it did not run, or if
+// nothing was sent.
+type Dispatcher struct {
+	settings   Settings
+	config     *spread.Spread
+	roster     *roster.Roster
+	mesh       *mesh.Mesh
+	upstreams  *table.Table[string, upstreamRow]
+	requests   *table.Table[message.RequestID, requestRow]
+	requestDue *agenda.Agenda[message.RequestID]
+	suspects   *suspects.Table
+	retries    map[string]*retrywindow.Window
+	ready      bool
+	listRead   bool
+	draining   bool
+	drained    bool
+	moved      bool
+	lastStep   time.Duration
+	beatDue    time.Duration
+	listenDue  time.Duration
+	outputs    []event.Output
+}
+
+// Settings of a Dispatcher. All durations are measured on the entry's own clock.
+type Settings struct {
+	// Domain is the failure domain of the entry.
+	Domain  string
+	Mesh    mesh.Settings
+	Retries retrywindow.Settings
+	Random  *rand.Rand
+	// BeatEvery is the time between two beats to other entries.
+	BeatEvery time.Duration
+	// WaitForUpstream is how long a request waits for an upstream to come up.
+	WaitForUpstream time.Duration
+	// DrainTime is the time from the start of a drain to the end of the process.
+	DrainTime time.Duration
+}
+
+const (
+	suspectBound = 4096
+	// refuseFrom is the number of upstreams that a request may crash.
+	refuseFrom         = 3
+	suspicionsPerBeat  = 32
+	longestIdle        = time.Second
+	forgiveAfter       = time.Second
+	listenEvery        = 100 * time.Millisecond
+	drainMargin        = 700 * time.Millisecond
+	shortestReturn     = 200 * time.Millisecond
+	returnWhenDraining = 50 * time.Millisecond
+)
+
+// New returns a dispatcher without configuration and upstreams.
+func New(settings Settings) *Dispatcher {
+	return &Dispatcher{
+		settings:   settings,
+		config:     spread.New(),
+		roster:     roster.New(),
+		mesh:       mesh.New(settings.Mesh),
+		upstreams:  table.New[string, upstreamRow](),
+		requests:   table.New[message.RequestID, requestRow](),
+		requestDue: agenda.New[message.RequestID](),
+		suspects:   suspects.New(suspectBound),
+		retries:    make(map[string]*retrywindow.Window),
+	}
+}
+
+// Step takes the inputs in order, runs the systems over the rows that are due
+// or changed, and returns what the shell is to do. Now is the process's uptime.
+func (dispatcher *Dispatcher) Step(now time.Duration, inputs []event.Input) []event.Output {
+	dispatcher.outputs = nil
+	dispatcher.noticePause(now)
+	for _, input := range inputs {
+		dispatcher.take(now, input)
+	}
+	dispatcher.placeWaiting(now)
+	dispatcher.expireWaiting(now)
+	dispatcher.moveFromSilent(now)
+	dispatcher.emit(dispatcher.mesh.Dial(now)...)
+	dispatcher.beat(now)
+	dispatcher.becomeReady()
+	dispatcher.reportDrained()
+	dispatcher.lastStep = now
+	return dispatcher.outputs
+}
+
+// NextDue returns the time at which the next step is due without any input.
+func (dispatcher *Dispatcher) NextDue() time.Duration {
+	next := min(dispatcher.beatDue, dispatcher.lastStep+longestIdle)
+	if due, ok := dispatcher.requestDue.Next(); ok {
+		next = min(next, due)
+	}
+	if due, ok := dispatcher.mesh.NextDue(); ok {
+		next = min(next, due)
+	}
+	if dispatcher.requests.Len() > 0 {
+		next = min(next, dispatcher.listenDue)
+	}
+	return next
+}
+
+// ConfigVersion returns the version of the class document in force.
+func (dispatcher *Dispatcher) ConfigVersion() uint64 {
+	return dispatcher.config.Version()
+}
+
+// InProgress returns the number of requests without a final answer.
+func (dispatcher *Dispatcher) InProgress() int {
+	return dispatcher.requests.Len()
+}
+
+func (dispatcher *Dispatcher) take(now time.Duration, input event.Input) {
+	switch input := input.(type) {
+	case event.Submitted:
+		dispatcher.submit(now, input.Request)
+	case event.AttemptAnswered:
+		dispatcher.answered(now, input)
+	case event.AttemptProgressed:
+		dispatcher.progressed(now, input)
+	case event.AttemptEnded:
+		dispatcher.ended(now, input)
+	case event.CallerGone:
+		dispatcher.recall(now, input.ID)
+	case event.DocumentRead:
+		dispatcher.putInForce(now, dispatcher.config.Offer(input.Raw))
+	case event.DrainBegun:
+		dispatcher.draining = true
+	default:
+		dispatcher.takeSurroundings(now, input)
+	}
+}
+
+// takeSurroundings takes what is told of upstreams and other entries.
+func (dispatcher *Dispatcher) takeSurroundings(now time.Duration, input event.Input) {
+	switch input := input.(type) {
+	case event.UpstreamListed:
+		dispatcher.noteUpstream(now, input.Upstream.Name, dispatcher.roster.List(now, input.Upstream))
+	case event.UpstreamGone:
+		dispatcher.noteUpstream(now, input.Name, dispatcher.roster.Remove(now, input.Name, input.Revision))
+	case event.UpstreamsRead:
+		dispatcher.listRead = true
+		for _, name := range dispatcher.roster.Replace(now, input.Upstreams, input.Revision) {
+			dispatcher.noteUpstream(now, name, true)
+		}
+	case event.StoreLost:
+		dispatcher.roster.StoreLost()
+	case event.StoreRegained:
+		dispatcher.roster.StoreRegained(now)
+	case event.PeerFound:
+		dispatcher.mesh.Find(now, input.Address)
+	case event.LinkOpened:
+		dispatcher.emit(dispatcher.mesh.Open(now, input)...)
+		dispatcher.beatDue = min(dispatcher.beatDue, now)
+	case event.LinkClosed:
+		dispatcher.mesh.Close(now, input)
+	case event.Received:
+		dispatcher.receive(now, input)
+	}
+}
+
+func (dispatcher *Dispatcher) receive(now time.Duration, received event.Received) {
+	switch body := received.Message.(type) {
+	case message.EntryBeat:
+		if dispatcher.mesh.Heard(now, received.Peer, received.Link, body) {
+			dispatcher.takeBeat(now, received, body)
+		}
+	case message.ConfigPull:
+		if dispatcher.mesh.Touch(now, received.Peer, received.Link) {
+			dispatcher.emit(dispatcher.config.Answer(received.Peer, received.Link, body)...)
+		}
+	case message.Config:
+		if dispatcher.mesh.Touch(now, received.Peer, received.Link) {
+			dispatcher.putInForce(now, dispatcher.config.Take(body))
+		}
+	}
+}
+
+func (dispatcher *Dispatcher) takeBeat(now time.Duration, received event.Received, beat message.EntryBeat) {
+	for _, suspicion := range beat.Suspicions {
+		dispatcher.suspects.Merge(now, suspicion)
+	}
+	for _, departure := range beat.Departures {
+		dispatcher.noteUpstream(now, departure.Upstream, dispatcher.roster.Depart(now, departure))
+	}
+	dispatcher.emit(dispatcher.config.Heard(now, received.Peer, received.Link, beat.ConfigVersion)...)
+}
+
+// noteUpstream reports a change of an upstream's row for the log, and looks at
+// the requests that wait for one.
+func (dispatcher *Dispatcher) noteUpstream(now time.Duration, name string, changed bool) {
+	if !changed {
+		return
+	}
+	dispatcher.moved = true
+	upstream, _ := dispatcher.roster.Find(name)
+	state := "usable"
+	if !dispatcher.roster.Usable(now, name) {
+		state = "left"
+	}
+	dispatcher.emit(event.Believed{Subject: "upstream", Name: name, State: state, Version: upstream.Revision})
+	dispatcher.beatDue = min(dispatcher.beatDue, now)
+}
+
+// putInForce passes on what the spread says. A new document goes out with the
+// next beats at once.
+func (dispatcher *Dispatcher) putInForce(now time.Duration, outputs []event.Output) {
+	dispatcher.emit(outputs...)
+	for _, output := range outputs {
+		if _, accepted := output.(event.DocumentAccepted); accepted {
+			dispatcher.beatDue = min(dispatcher.beatDue, now)
+		}
+	}
+}
+
+// becomeReady lets the entry take callers once it has a class document and has
+// heard of upstreams.
+func (dispatcher *Dispatcher) becomeReady() {
+	if dispatcher.ready || dispatcher.config.Version() == 0 || !dispatcher.listRead {
+		return
+	}
+	dispatcher.ready = true
+	dispatcher.emit(event.Ready{})
+}
+
+func (dispatcher *Dispatcher) reportDrained() {
+	if !dispatcher.draining || dispatcher.drained || dispatcher.requests.Len() > 0 {
+		return
+	}
+	dispatcher.drained = true
+	dispatcher.emit(event.Drained{})
+}
+
+// noticePause forgives silences after a pause of this process: what others sent
+// may lie unread.
+func (dispatcher *Dispatcher) noticePause(now time.Duration) {
+	if now-dispatcher.lastStep < longestIdle+forgiveAfter {
+		return
+	}
+	dispatcher.mesh.Forgive(now)
+	for _, name := range dispatcher.upstreams.Keys() {
+		row, _ := dispatcher.upstreams.Get(name)
+		dispatcher.upstreams.Put(name, row.WithHeard(now))
+	}
+}
+
+// beat tells the other entries what they need to know, and hangs up silent ones.
+func (dispatcher *Dispatcher) beat(now time.Duration) {
+	if now < dispatcher.beatDue {
+		return
+	}
+	dispatcher.beatDue = now + dispatcher.settings.BeatEvery
+	dispatcher.emit(dispatcher.mesh.HangUpSilent(now)...)
+	dispatcher.emit(dispatcher.mesh.Send(message.EntryBeat{
+		ConfigVersion: dispatcher.config.Version(),
+		Entries:       dispatcher.mesh.Addresses(),
+		Uses:          dispatcher.uses(),
+		Departures:    dispatcher.roster.Departures(now),
+		Suspicions:    dispatcher.suspects.Report(now, suspicionsPerBeat),
+		Leaving:       dispatcher.draining,
+	})...)
+}
+
+func (dispatcher *Dispatcher) emit(outputs ...event.Output) {
+	dispatcher.outputs = append(dispatcher.outputs, outputs...)
+}
--- /dev/null
+++ b/internal/core/dispatch/requests.go
@@ -0,0 +1,337 @@
+package dispatch
+
+import (
+	"time"
+
+	"endivepost/internal/config/document"
+	"endivepost/internal/core/event"
+	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/wire/message"
+)
+
+type requestState uint8
+
+const (
+	// waiting: no attempt is in progress.
+	waiting requestState = iota
+	// running: an attempt is in progress.
+	running
+	// stopping: the attempt in progress was stopped, to send the request elsewhere.
+	stopping
+	// recalled: the attempt in progress was stopped since the caller is gone.
+	recalled
+)
+
+// requestRow is one request without a final answer.
+type requestRow struct {
+	request event.Request
+	pool    string
+	state   requestState
+	// until is when its time is up, waitUntil when it no longer waits.
+	until     time.Duration
+	waitUntil time.Duration
+	// number counts attempts, sent those that may have reached an upstream.
+	number     int
+	sent       int
+	upstream   string
+	tried      []string
+	reading    int
+	answered   bool
+	delivered  bool
+	mayHaveRun bool
+}
+
+// urgentTarget is the longest target between tokens of a stream that the
+// reading of long prompts beside it makes late.
+const urgentTarget = 250 * time.Millisecond
+
+// longestRequest bounds a request that neither its caller nor its class bounds.
+const longestRequest = 10 * time.Minute
+
+// WithTried returns the row with an upstream that it is not sent to again.
+func (row requestRow) WithTried(name string) requestRow {
+	row.tried = append(row.tried[:len(row.tried):len(row.tried)], name)
+	return row
+}
+
+func (row requestRow) urgent() bool {
+	between := time.Duration(row.request.Class.BetweenTokens)
+	return between > 0 && between <= urgentTarget
+}
+
+// mayRepeat says whether the request may be sent to one more upstream although
+// it may have run.
+func (row requestRow) mayRepeat(now time.Duration) bool {
+	return row.request.Class.Repeatable() && row.attemptsLeft() && now < row.until
+}
+
+func (row requestRow) attemptsLeft() bool {
+	most := row.request.Class.MostAttempts
+	return most == 0 || row.sent < most
+}
+
+func (dispatcher *Dispatcher) submit(now time.Duration, request event.Request) {
+	row := requestRow{request: request, until: now + request.Budget}
+	if request.Budget == 0 {
+		row.until = now + longestRequest
+	}
+	if limit := time.Duration(request.Class.TimeLimit); limit > 0 && (request.Budget == 0 || limit < request.Budget) {
+		row.until = now + limit
+	}
+	row.waitUntil = min(now+dispatcher.settings.WaitForUpstream, row.until)
+	if reason, retryAfter := dispatcher.unwelcome(now, row); reason != message.NoReason {
+		dispatcher.emit(event.Finish{ID: request.ID, Outcome: message.NotRun, Reason: reason, RetryAfter: retryAfter})
+		return
+	}
+	row.pool = dispatcher.pick(request.Class.Split)
+	dispatcher.place(now, row)
+}
+
+// unwelcome returns why the request is refused at once, if so, and when the
+// caller may come back.
+func (dispatcher *Dispatcher) unwelcome(now time.Duration, row requestRow) (message.Reason, time.Duration) {
+	if crashes, remaining := dispatcher.suspects.Crashes(now, row.request.Fingerprint); crashes >= refuseFrom {
+		return message.Suspect, remaining
+	}
+	return message.NoReason, 0
+}
+
+// pick draws a pool by the weights of the class.
+func (dispatcher *Dispatcher) pick(split []document.Share) string {
+	total := 0
+	for _, share := range split {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return split[0].Pool
+	}
+	drawn := dispatcher.settings.Random.IntN(total)
+	for _, share := range split {
+		if drawn < share.Weight {
+			return share.Pool
+		}
+		drawn -= share.Weight
+	}
+	return split[len(split)-1].Pool
+}
+
+// place sends the request to an upstream, or lets it wait for one.
+func (dispatcher *Dispatcher) place(now time.Duration, row requestRow) {
+	upstream, ok := dispatcher.choose(now, row)
+	if !ok {
+		dispatcher.wait(now, row)
+		return
+	}
+	row.number++
+	row.sent++
+	row.state = running
+	row.answered = false
+	row.upstream = upstream.Name
+	row.reading = row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, "")
+	dispatcher.occupy(now, row)
+	dispatcher.requestDue.Remove(row.request.ID)
+	dispatcher.requests.Put(row.request.ID, row)
+	if row.sent == 1 {
+		dispatcher.window(row.pool).Sent(now)
+	}
+	dispatcher.emit(event.Attempt{
+		ID: row.request.ID, Number: row.number, Upstream: upstream.Name, Address: upstream.Address, Domain: upstream.Domain,
+		Tier: row.request.Tier, Until: row.until,
+	})
+}
+
+func (dispatcher *Dispatcher) window(pool string) *retrywindow.Window {
+	found, ok := dispatcher.retries[pool]
+	if !ok {
+		found = retrywindow.New(dispatcher.settings.Retries)
+		dispatcher.retries[pool] = found
+	}
+	return found
+}
+
+// wait keeps a request for which there is no upstream now. One that has tried
+// all there are is given up at once.
+func (dispatcher *Dispatcher) wait(now time.Duration, row requestRow) {
+	if len(row.tried) > 0 || now >= row.waitUntil {
+		dispatcher.giveUp(row, message.NoUpstream)
+		return
+	}
+	row.state = waiting
+	dispatcher.requests.Put(row.request.ID, row)
+	dispatcher.requestDue.Set(row.request.ID, row.waitUntil)
+}
+
+// placeWaiting looks again at the requests that wait after upstreams changed.
+func (dispatcher *Dispatcher) placeWaiting(now time.Duration) {
+	if !dispatcher.moved {
+		return
+	}
+	dispatcher.moved = false
+	for _, id := range dispatcher.requests.Keys() {
+		if row, ok := dispatcher.requests.Get(id); ok && row.state == waiting {
+			dispatcher.place(now, row)
+		}
+	}
+}
+
+func (dispatcher *Dispatcher) expireWaiting(now time.Duration) {
+	for _, id := range dispatcher.requestDue.PopDue(now) {
+		if row, ok := dispatcher.requests.Get(id); ok && row.state == waiting {
+			dispatcher.giveUp(row, message.NoUpstream)
+		}
+	}
+}
+
+func (dispatcher *Dispatcher) answered(now time.Duration, answered event.AttemptAnswered) {
+	row, ok := dispatcher.current(answered.ID, answered.Number)
+	if !ok || row.answered {
+		return
+	}
+	row.answered = true
+	dispatcher.requests.Put(answered.ID, row)
+	held := dispatcher.upstream(row.upstream).WithSuccess(now)
+	held.use.Reading -= row.reading
+	dispatcher.upstreams.Put(row.upstream, held)
+}
+
+func (dispatcher *Dispatcher) progressed(now time.Duration, progressed event.AttemptProgressed) {
+	if row, ok := dispatcher.current(progressed.ID, progressed.Number); ok {
+		dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithHeard(now))
+	}
+}
+
+func (dispatcher *Dispatcher) current(id message.RequestID, number int) (requestRow, bool) {
+	row, ok := dispatcher.requests.Get(id)
+	return row, ok && row.number == number && row.state != waiting
+}
+
+// ended decides what becomes of a request after an attempt.
+func (dispatcher *Dispatcher) ended(now time.Duration, ended event.AttemptEnded) {
+	row, ok := dispatcher.current(ended.ID, ended.Number)
+	if !ok {
+		return
+	}
+	dispatcher.release(row)
+	row.delivered = row.delivered || ended.Delivered
+	if row.state == recalled {
+		dispatcher.finish(row, message.Incomplete, message.Cancelled)
+		return
+	}
+	row = row.WithTried(row.upstream)
+	dispatcher.judgeUpstream(now, row, ended)
+	switch ended.Result {
+	case event.Whole:
+		dispatcher.suspects.Clear(row.request.Fingerprint)
+		dispatcher.finish(row, message.Complete, message.NoReason)
+	case event.Unreached:
+		row.sent--
+		dispatcher.place(now, row)
+	case event.Withheld:
+		row.sent--
+		dispatcher.giveUp(row, message.DeadlinePassed)
+	case event.Declined, event.Mistaken:
+		dispatcher.retry(now, row, row.attemptsLeft(), message.QueueFull)
+	case event.Erred:
+		row.mayHaveRun = true
+		dispatcher.retryErred(now, row)
+	case event.Broken, event.Stopped:
+		row.mayHaveRun = true
+		dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.suspected(now, row), message.UpstreamDown)
+	case event.Expired:
+		row.mayHaveRun = true
+		dispatcher.giveUp(row, message.DeadlinePassed)
+	}
+}
+
+// judgeUpstream draws from the end of an attempt what it says about the upstream.
+func (dispatcher *Dispatcher) judgeUpstream(now time.Duration, row requestRow, ended event.AttemptEnded) {
+	held := dispatcher.upstream(row.upstream)
+	switch ended.Result {
+	case event.Whole:
+		held = held.WithSuccess(now)
+	case event.Unreached, event.Broken:
+		held = held.WithFailure(now)
+	case event.Declined, event.Erred:
+		held = held.WithHeard(now)
+	case event.Mistaken:
+		dispatcher.roster.Mistaken(now, row.upstream)
+	}
+	dispatcher.upstreams.Put(row.upstream, held)
+	if ended.Result == event.Broken {
+		dispatcher.suspects.Blame(now, row.request.Fingerprint)
+	}
+}
+
+func (dispatcher *Dispatcher) suspected(now time.Duration, row requestRow) bool {
+	crashes, _ := dispatcher.suspects.Crashes(now, row.request.Fingerprint)
+	return crashes >= refuseFrom
+}
+
+// retry sends the request to one more upstream if it may be, the common bound on
+// retries leaves room, and there is one.
+func (dispatcher *Dispatcher) retry(now time.Duration, row requestRow, may bool, reason message.Reason) {
+	_, found := dispatcher.choose(now, row)
+	if !may || !found || now >= row.until || !dispatcher.window(row.pool).Take(now, dispatcher.mesh.Entries(now)) {
+		dispatcher.giveUp(row, reason)
+		return
+	}
+	dispatcher.place(now, row)
+}
+
+// retryErred sends a repeatable request to another upstream after a failure of
+// the first; otherwise the caller gets the upstream's own answer.
+func (dispatcher *Dispatcher) retryErred(now time.Duration, row requestRow) {
+	_, found := dispatcher.choose(now, row)
+	if !found || !row.mayRepeat(now) || !dispatcher.window(row.pool).Take(now, dispatcher.mesh.Entries(now)) {
+		dispatcher.finish(row, message.Failed, message.NoReason)
+		return
+	}
+	dispatcher.place(now, row)
+}
+
+// giveUp ends a request at once. Its outcome is not-run only if no upstream can
+// have run it.
+func (dispatcher *Dispatcher) giveUp(row requestRow, reason message.Reason) {
+	switch {
+	case row.delivered:
+		dispatcher.finish(row, message.Incomplete, reason)
+	case row.mayHaveRun:
+		dispatcher.finish(row, message.Unknown, reason)
+	default:
+		dispatcher.finish(row, message.NotRun, reason)
+	}
+}
+
+func (dispatcher *Dispatcher) finish(row requestRow, outcome message.Outcome, reason message.Reason) {
+	dispatcher.requests.Delete(row.request.ID)
+	dispatcher.requestDue.Remove(row.request.ID)
+	finish := event.Finish{ID: row.request.ID, Outcome: outcome, Reason: reason, Upstream: row.upstream, Attempts: row.sent}
+	if outcome == message.NotRun {
+		finish.RetryAfter = dispatcher.returnAfter()
+	}
+	dispatcher.emit(finish)
+}
+
+// returnAfter tells a caller whose request was not run when to come back: at
+// another entry at once if this one drains, else after a moment.
+func (dispatcher *Dispatcher) returnAfter() time.Duration {
+	if dispatcher.draining {
+		return returnWhenDraining
+	}
+	return shortestReturn + time.Duration(dispatcher.settings.Random.Int64N(int64(shortestReturn)))
+}
+
+// recall ends a request whose caller is gone.
+func (dispatcher *Dispatcher) recall(_ time.Duration, id message.RequestID) {
+	row, ok := dispatcher.requests.Get(id)
+	if !ok || row.state == recalled {
+		return
+	}
+	if row.state == waiting {
+		dispatcher.giveUp(row, message.Cancelled)
+		return
+	}
+	row.state = recalled
+	dispatcher.requests.Put(id, row)
+	dispatcher.emit(event.Stop{ID: id})
+}
--- /dev/null
+++ b/internal/core/dispatch/upstreams.go
@@ -0,0 +1,258 @@
+package dispatch
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/policy/enginechoice"
+	"endivepost/internal/policy/prefix"
+	"endivepost/internal/policy/rendezvous"
+	"endivepost/internal/wire/message"
+)
+
+// upstreamRow is what this entry knows of an upstream from its own requests.
+type upstreamRow struct {
+	use message.Use
+	// heard is when the upstream last sent anything, busySince when it was given
+	// work after having had none.
+	heard     time.Duration
+	busySince time.Duration
+	failures  int
+	// avoidUntil keeps new work away while others can take it.
+	avoidUntil time.Duration
+	kept       *prefix.Memory
+}
+
+// WithHeard returns the row after a sign of life.
+func (row upstreamRow) WithHeard(now time.Duration) upstreamRow {
+	row.heard = now
+	return row
+}
+
+// WithFailure returns the row after a failure that speaks against the upstream.
+// Each one in a row doubles the time for which it is avoided.
+func (row upstreamRow) WithFailure(now time.Duration) upstreamRow {
+	row.failures++
+	row.avoidUntil = now + avoidFirst<<min(row.failures-1, avoidDoublings)
+	return row
+}
+
+// WithSuccess returns the row after an answer.
+func (row upstreamRow) WithSuccess(now time.Duration) upstreamRow {
+	row.failures = 0
+	row.avoidUntil = now
+	return row.WithHeard(now)
+}
+
+const (
+	avoidFirst     = 250 * time.Millisecond
+	avoidDoublings = 4
+	// silentAfter is how long an upstream may send nothing at all while it has
+	// work, beside the time for reading its prompts.
+	silentAfter = 700 * time.Millisecond
+	// homeShare is the part of a prefix that an upstream is taken to keep if it
+	// is the prefix's home: other entries send it there too.
+	homeShare = 0.9
+	// defaultCache is the size of a KV cache that the document does not state.
+	defaultCache = 200_000
+)
+
+func (dispatcher *Dispatcher) upstream(name string) upstreamRow {
+	row, ok := dispatcher.upstreams.Get(name)
+	if !ok {
+		row = upstreamRow{use: message.Use{Upstream: name}}
+	}
+	return row
+}
+
+// choose returns the upstream to send the request to, if there is one. Those
+// that were tried or failed lately are taken only if there is no other.
+func (dispatcher *Dispatcher) choose(now time.Duration, row requestRow) (event.Upstream, bool) {
+	usable := dispatcher.roster.InPool(now, row.pool)
+	fresh := slices.DeleteFunc(slices.Clone(usable), func(upstream event.Upstream) bool {
+		return slices.Contains(row.tried, upstream.Name) || now < dispatcher.upstream(upstream.Name).avoidUntil
+	})
+	if len(fresh) == 0 {
+		fresh = slices.DeleteFunc(usable, func(upstream event.Upstream) bool { return slices.Contains(row.tried, upstream.Name) })
+	}
+	if len(fresh) == 0 {
+		return event.Upstream{}, false
+	}
+	return dispatcher.best(row, fresh), true
+}
+
+func (dispatcher *Dispatcher) best(row requestRow, upstreams []event.Upstream) event.Upstream {
+	uses := dispatcher.allUses()
+	home := dispatcher.home(row, upstreams)
+	candidates := make([]enginechoice.Candidate, len(upstreams))
+	start := dispatcher.settings.Random.IntN(len(upstreams))
+	rotated := slices.Concat(upstreams[start:], upstreams[:start])
+	for i, upstream := range rotated {
+		use := uses[upstream.Name]
+		candidates[i] = enginechoice.Candidate{
+			Running: use.Running,
+			Batch:   upstream.Slots,
+			Reading: use.Reading,
+			Urgent:  use.Urgent,
+			Unread:  row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, home),
+			Far:     upstream.Domain != dispatcher.settings.Domain,
+		}
+	}
+	return rotated[enginechoice.Choose(enginechoice.Ask{Urgent: row.urgent()}, candidates)]
+}
+
+// home returns the upstream that all entries prefer for the request's longest
+// shared prefix, or "" for a request without one.
+func (dispatcher *Dispatcher) home(row requestRow, upstreams []event.Upstream) string {
+	parts := row.request.Prompt.Parts
+	if len(parts) < 2 {
+		return ""
+	}
+	names := make([]string, len(upstreams))
+	for i, upstream := range upstreams {
+		names[i] = upstream.Name
+	}
+	key := binary.BigEndian.AppendUint64(nil, parts[len(parts)-2].ID)
+	return rendezvous.Top(key, names)
+}
+
+// held returns how many tokens of the prompt the upstream need not read.
+func (dispatcher *Dispatcher) held(row requestRow, name, home string) int {
+	prompt := row.request.Prompt
+	held := 0
+	if known := dispatcher.upstream(name).kept; known != nil {
+		held = known.Held(prompt)
+	}
+	if name != home {
+		return held
+	}
+	shared := 0
+	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
+		shared += part.Tokens
+	}
+	return max(held, int(homeShare*float64(shared)))
+}
+
+// allUses adds what the other entries last reported to this entry's own work.
+func (dispatcher *Dispatcher) allUses() map[string]message.Use {
+	total := make(map[string]message.Use)
+	for _, name := range dispatcher.upstreams.Keys() {
+		row, _ := dispatcher.upstreams.Get(name)
+		total[name] = row.use
+	}
+	for _, beat := range dispatcher.mesh.Beats() {
+		for _, use := range beat.Uses {
+			sum := total[use.Upstream]
+			sum.Running += use.Running
+			sum.Reading += use.Reading
+			sum.Urgent += use.Urgent
+			total[use.Upstream] = sum
+		}
+	}
+	return total
+}
+
+// uses returns this entry's own work in progress, in a fixed order.
+func (dispatcher *Dispatcher) uses() []message.Use {
+	var uses []message.Use
+	for _, name := range dispatcher.upstreams.Keys() {
+		if row, _ := dispatcher.upstreams.Get(name); row.use.Running > 0 {
+			uses = append(uses, row.use)
+		}
+	}
+	slices.SortFunc(uses, func(left, right message.Use) int { return cmp.Compare(left.Upstream, right.Upstream) })
+	return uses
+}
+
+// occupy records that the request was sent to its upstream.
+func (dispatcher *Dispatcher) occupy(now time.Duration, row requestRow) {
+	held := dispatcher.upstream(row.upstream)
+	if held.use.Running == 0 {
+		held.busySince = now
+	}
+	held.use.Running++
+	held.use.Reading += row.reading
+	if row.urgent() {
+		held.use.Urgent++
+	}
+	if len(row.request.Prompt.Parts) > 0 {
+		held = held.WithKept(dispatcher.cacheTokens(row.pool), row.request.Prompt)
+	}
+	dispatcher.upstreams.Put(row.upstream, held)
+}
+
+// WithKept returns the row after the prompt was sent there.
+func (row upstreamRow) WithKept(bound int, prompt event.Prompt) upstreamRow {
+	if row.kept == nil {
+		row.kept = prefix.New(bound)
+	}
+	row.kept.Add(prompt)
+	return row
+}
+
+func (dispatcher *Dispatcher) cacheTokens(pool string) int {
+	if found, ok := dispatcher.config.Document().Pool(pool); ok && found.Engine.CacheTokens > 0 {
+		return found.Engine.CacheTokens
+	}
+	return defaultCache
+}
+
+// release undoes occupy at the end of an attempt.
+func (dispatcher *Dispatcher) release(row requestRow) {
+	held := dispatcher.upstream(row.upstream)
+	held.use.Running--
+	if !row.answered {
+		held.use.Reading -= row.reading
+	}
+	if row.urgent() {
+		held.use.Urgent--
+	}
+	dispatcher.upstreams.Put(row.upstream, held)
+}
+
+// silent says whether the upstream has sent nothing for longer than its work
+// explains.
+func (row upstreamRow) silent(now time.Duration) bool {
+	if row.use.Running == 0 {
+		return false
+	}
+	quietSince := max(row.heard, row.busySince)
+	return now-quietSince > silentAfter+enginechoice.ReadingTime(row.use.Reading)
+}
+
+// moveFromSilent takes repeatable requests away from upstreams that have gone
+// silent: with a crash that nobody announces, connections stay open and nothing
+// comes. Requests that must not be repeated stay.
+func (dispatcher *Dispatcher) moveFromSilent(now time.Duration) {
+	if now < dispatcher.listenDue {
+		return
+	}
+	dispatcher.listenDue = now + listenEvery
+	for _, name := range dispatcher.upstreams.Keys() {
+		held, _ := dispatcher.upstreams.Get(name)
+		if !held.silent(now) || now < held.avoidUntil {
+			continue
+		}
+		dispatcher.upstreams.Put(name, held.WithFailure(now))
+		dispatcher.emit(event.Believed{Subject: "upstream", Name: name, State: "silent", Version: uint64(now - held.heard)})
+		dispatcher.moveAll(now, name)
+	}
+}
+
+func (dispatcher *Dispatcher) moveAll(now time.Duration, name string) {
+	for _, id := range dispatcher.requests.Keys() {
+		row, _ := dispatcher.requests.Get(id)
+		if row.state != running || row.upstream != name || !row.mayRepeat(now) {
+			continue
+		}
+		if _, ok := dispatcher.choose(now, row.WithTried(name)); !ok {
+			continue
+		}
+		row.state = stopping
+		dispatcher.requests.Put(id, row)
+		dispatcher.emit(event.Stop{ID: id})
+	}
+}
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -71,6 +71,150 @@
 	Key         message.Digest
 	KeyBorn     time.Time
 	BodySum     message.Digest
+	// Tier is the tier that the request has after its account and class.
+	Tier int
+	// Budget is how long the caller waits from the arrival on; 0 is unbounded.
+	Budget time.Duration
+	Prompt Prompt
+}
+
+// Prompt describes the prompt of a request to a model engine. The zero value
+// is that of a request to a plain service.
+type Prompt struct {
+	// Parts are in order; the last one is the request's own or its session's.
+	Parts []PromptPart
+	// Tokens counts the whole prompt, MostOutput bounds the answer.
+	Tokens     int
+	MostOutput int
+}
+
+// PromptPart is a run of tokens that prompts with the same ID have in common.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
+
+// Upstream is one upstream of the published list, for entries that reach
+// upstreams without sidecars. Revision rises with each change of its row.
+type Upstream struct {
+	Name     string
+	Pool     string
+	Address  string
+	Domain   string
+	Slots    int
+	Leaving  bool
+	Revision uint64
+}
+
+// UpstreamListed is a row of the published list as it was written.
+type UpstreamListed struct{ Upstream Upstream }
+
+// UpstreamGone reports that the row of an upstream was removed.
+type UpstreamGone struct {
+	Name     string
+	Revision uint64
+}
+
+// UpstreamsRead is the whole published list; what is not in it was gone at the
+// revision at which its first page was read.
+type UpstreamsRead struct {
+	Upstreams []Upstream
+	Revision  uint64
+}
+
+// StoreLost reports that the configuration service stopped answering, and
+// StoreRegained that it answers again.
+type StoreLost struct{}
+
+// StoreRegained is the first answer after StoreLost.
+type StoreRegained struct{}
+
+// PeerFound names another entry by the address that it is reached at.
+type PeerFound struct{ Address string }
+
+// AttemptAnswered reports the first byte of an answer to an attempt, or for a
+// stream its first event.
+type AttemptAnswered struct {
+	ID     message.RequestID
+	Number int
+}
+
+// AttemptProgressed reports that more of an answer has come. The shell may leave
+// out those that follow closely.
+type AttemptProgressed struct {
+	ID     message.RequestID
+	Number int
+}
+
+// AttemptEnded reports how an attempt ended.
+type AttemptEnded struct {
+	ID     message.RequestID
+	Number int
+	Result AttemptResult
+	// Delivered says that part of the answer has reached the caller.
+	Delivered bool
+	// Status is the status code of the upstream's answer, 0 without one.
+	Status int
+}
+
+// AttemptResult says how an attempt ended.
+type AttemptResult uint8
+
+// The ways in which an attempt ends.
+const (
+	// Whole means that the whole answer was delivered.
+	Whole AttemptResult = iota + 1
+	// Unreached means that no connection could be made: nothing was sent.
+	Unreached
+	// Declined means that the upstream says that it did not run the request.
+	Declined
+	// Mistaken means that another upstream has the address; it ran nothing.
+	Mistaken
+	// Erred means that the upstream answered with a failure of its own, which
+	// is held back until the core decides.
+	Erred
+	// Broken means that the answer ended early: the request may have run.
+	Broken
+	// Stopped means that the core stopped the attempt: the request may have run.
+	Stopped
+	// Expired means that the time of the request was up: it may have run.
+	Expired
+	// Withheld means that nothing was sent since the time was up.
+	Withheld
+)
+
+var attemptResultNames = [...]string{
+	"", "whole", "unreached", "declined", "mistaken", "erred", "broken", "stopped", "expired", "withheld",
+}
+
+// String returns the kebab-case name that logs show.
+func (result AttemptResult) String() string {
+	if int(result) < len(attemptResultNames) {
+		return attemptResultNames[result]
+	}
+	return "unknown"
+}
+
+// Attempt asks the shell to send a request straight to an upstream. The shell
+// reports AttemptEnded with the same number.
+type Attempt struct {
+	ID       message.RequestID
+	Number   int
+	Upstream string
+	Address  string
+	Domain   string
+	Tier     int
+	// Until is the uptime at which the request's time is up.
+	Until time.Duration
+}
+
+// Believed reports a change of what the core believes about its surroundings,
+// for the log.
+type Believed struct {
+	Subject string
+	Name    string
+	State   string
+	Version uint64
 }
 
 // CallerGone reports that the caller hung up or reads too slowly.
@@ -176,6 +320,15 @@
 func (UpstreamAnswered) input()    {}
 func (UpstreamEnded) input()       {}
 func (UpstreamChecked) input()     {}
+func (UpstreamListed) input()      {}
+func (UpstreamGone) input()        {}
+func (UpstreamsRead) input()       {}
+func (StoreLost) input()           {}
+func (StoreRegained) input()       {}
+func (PeerFound) input()           {}
+func (AttemptAnswered) input()     {}
+func (AttemptEnded) input()        {}
+func (AttemptProgressed) input()   {}
 
 func (Send) output()             {}
 func (Dial) output()             {}
@@ -189,6 +342,8 @@
 func (Ready) output()            {}
 func (WatchSet) output()         {}
 func (Drained) output()          {}
+func (Attempt) output()          {}
+func (Believed) output()         {}
 
 // PeerSummary is an entry's view of one sidecar, for operators.
 type PeerSummary struct {
--- /dev/null
+++ b/internal/core/mesh/mesh.go
@@ -0,0 +1,299 @@
+// Package mesh keeps the connections between entries.
+package mesh
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/data/agenda"
+	"endivepost/internal/data/table"
+	"endivepost/internal/policy/subset"
+	"endivepost/internal/wire/message"
+)
+
+// Mesh dials a bounded number of other entries and hears of further ones from
+// them. An entry is named by the address at which it is reached.
+type Mesh struct {
+	settings Settings
+	peers    *table.Table[string, peerRow]
+	links    *table.Table[string, linkRow]
+	dialDue  *agenda.Agenda[string]
+	heard    *table.Table[string, time.Duration]
+}
+
+// Settings of a Mesh. Fanout bounds the entries that this one dials.
+type Settings struct {
+	Self         string
+	Fanout       int
+	SilenceLimit time.Duration
+	RedialAfter  time.Duration
+	Random       *rand.Rand
+}
+
+// peerRow is an entry that may be dialled.
+type peerRow struct {
+	dialing  bool
+	number   uint64
+	failures int
+	seen     time.Duration
+}
+
+// linkRow is an open connection, dialled or accepted, under its own key.
+type linkRow struct {
+	peer  string
+	link  uint64
+	heard time.Duration
+	beat  message.EntryBeat
+	known bool
+}
+
+const (
+	dialPrefix    = "dial:"
+	acceptPrefix  = "accept:"
+	mostDoublings = 4
+	// peerMemory is how long an address that nobody answers at is dialled.
+	peerMemory = 30 * time.Second
+	// entryMemory is how long an entry counts among the entries after its last
+	// sign of life: its share of a common bound may still be in use.
+	entryMemory = 10 * time.Second
+)
+
+// Accepted returns the key of a connection that the entry at the address dialled.
+func Accepted(address string) string {
+	return acceptPrefix + address
+}
+
+// split returns the entry's address in the key of a connection, and whether
+// this entry dialled it.
+func split(key string) (address string, dialled bool) {
+	if address, dialled = strings.CutPrefix(key, dialPrefix); dialled {
+		return address, true
+	}
+	return strings.TrimPrefix(key, acceptPrefix), false
+}
+
+// New returns a mesh that knows no other entry.
+func New(settings Settings) *Mesh {
+	return &Mesh{
+		settings: settings,
+		peers:    table.New[string, peerRow](),
+		links:    table.New[string, linkRow](),
+		dialDue:  agenda.New[string](),
+		heard:    table.New[string, time.Duration](),
+	}
+}
+
+// Find adds an address at which an entry may be reached.
+func (mesh *Mesh) Find(now time.Duration, address string) {
+	if address == mesh.settings.Self || address == "" {
+		return
+	}
+	if _, known := mesh.peers.Get(address); known {
+		return
+	}
+	mesh.peers.Put(address, peerRow{seen: now})
+	mesh.dialDue.Set(address, now)
+}
+
+// NextDue returns when a dial is due, and whether one is.
+func (mesh *Mesh) NextDue() (time.Duration, bool) {
+	return mesh.dialDue.Next()
+}
+
+// Dial returns the connections to be opened now.
+func (mesh *Mesh) Dial(now time.Duration) []event.Output {
+	var outputs []event.Output
+	for _, address := range mesh.dialDue.PopDue(now) {
+		peer, known := mesh.peers.Get(address)
+		if !known || peer.dialing || mesh.connected(address) || !mesh.chosen(address) {
+			continue
+		}
+		if now-peer.seen > peerMemory && peer.failures > mostDoublings {
+			mesh.peers.Delete(address)
+			continue
+		}
+		peer.dialing = true
+		peer.number++
+		mesh.peers.Put(address, peer)
+		outputs = append(outputs, event.Dial{Peer: dialPrefix + address, Address: address, Link: peer.number})
+	}
+	return outputs
+}
+
+// chosen says whether this entry dials the address: in a large fleet each entry
+// dials a bounded part of the others, and news goes round through them.
+func (mesh *Mesh) chosen(address string) bool {
+	addresses := mesh.peers.Keys()
+	if len(addresses) <= mesh.settings.Fanout {
+		return true
+	}
+	for _, name := range subset.Choose(mesh.settings.Self, addresses, mesh.settings.Fanout) {
+		if name == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (mesh *Mesh) connected(address string) bool {
+	for _, key := range mesh.links.Keys() {
+		if link, _ := mesh.links.Get(key); link.peer == address {
+			return true
+		}
+	}
+	return false
+}
+
+// Open takes a connection that stands. Of two connections to the same entry the
+// one stays that the entry with the lower address dialled, so that both ends
+// agree which.
+func (mesh *Mesh) Open(now time.Duration, opened event.LinkOpened) []event.Output {
+	address, dialled := split(opened.Peer)
+	var outputs []event.Output
+	for _, key := range mesh.links.Keys() {
+		held, _ := mesh.links.Get(key)
+		if held.peer != address {
+			continue
+		}
+		if dialled == (mesh.settings.Self < address) {
+			outputs = append(outputs, event.Hangup{Peer: key, Link: held.link})
+			mesh.links.Delete(key)
+			continue
+		}
+		mesh.stopDialing(address)
+		return append(outputs, event.Hangup{Peer: opened.Peer, Link: opened.Link})
+	}
+	mesh.Find(now, address)
+	mesh.stopDialing(address)
+	mesh.links.Put(opened.Peer, linkRow{peer: address, link: opened.Link, heard: now})
+	mesh.heard.Put(address, now)
+	return outputs
+}
+
+func (mesh *Mesh) stopDialing(address string) {
+	peer, known := mesh.peers.Get(address)
+	if !known {
+		return
+	}
+	peer.dialing = false
+	peer.failures = 0
+	mesh.peers.Put(address, peer)
+}
+
+// Close takes the end of a connection or of an attempt to dial. The address is
+// dialled again later and later, at random times, so that an entry that comes
+// back is not dialled by all at once.
+func (mesh *Mesh) Close(now time.Duration, closed event.LinkClosed) {
+	address, dialled := split(closed.Peer)
+	if held, ok := mesh.links.Get(closed.Peer); ok && held.link == closed.Link {
+		mesh.links.Delete(closed.Peer)
+	}
+	peer, known := mesh.peers.Get(address)
+	if !known {
+		return
+	}
+	if dialled && closed.Link == peer.number {
+		peer.dialing = false
+	}
+	peer.failures++
+	mesh.peers.Put(address, peer)
+	longest := mesh.settings.RedialAfter << min(peer.failures-1, mostDoublings)
+	mesh.dialDue.Set(address, now+longest/2+time.Duration(mesh.settings.Random.Int64N(int64(longest))))
+}
+
+// Heard takes a beat and says whether it came by a connection that stands.
+func (mesh *Mesh) Heard(now time.Duration, key string, link uint64, beat message.EntryBeat) bool {
+	held, ok := mesh.links.Get(key)
+	if !ok || held.link != link {
+		return false
+	}
+	held.heard = now
+	held.beat = beat
+	held.known = true
+	mesh.links.Put(key, held)
+	mesh.heard.Put(held.peer, now)
+	for _, address := range beat.Entries {
+		mesh.Find(now, address)
+	}
+	return true
+}
+
+// Touch records a sign of life other than a beat.
+func (mesh *Mesh) Touch(now time.Duration, key string, link uint64) bool {
+	held, ok := mesh.links.Get(key)
+	if !ok || held.link != link {
+		return false
+	}
+	held.heard = now
+	mesh.links.Put(key, held)
+	return true
+}
+
+// Forgive forgets the silence of all connections after a pause of this process:
+// their messages may lie unread.
+func (mesh *Mesh) Forgive(now time.Duration) {
+	for _, key := range mesh.links.Keys() {
+		held, _ := mesh.links.Get(key)
+		held.heard = now
+		mesh.links.Put(key, held)
+	}
+}
+
+// HangUpSilent closes the connections that have been silent for too long.
+func (mesh *Mesh) HangUpSilent(now time.Duration) []event.Output {
+	var outputs []event.Output
+	for _, key := range mesh.links.Keys() {
+		held, _ := mesh.links.Get(key)
+		if now-held.heard > mesh.settings.SilenceLimit {
+			outputs = append(outputs, event.Hangup{Peer: key, Link: held.link})
+			mesh.Close(now, event.LinkClosed{Peer: key, Link: held.link})
+		}
+	}
+	return outputs
+}
+
+// Send returns the message for every open connection.
+func (mesh *Mesh) Send(body message.Message) []event.Output {
+	var outputs []event.Output
+	for _, key := range mesh.links.Keys() {
+		held, _ := mesh.links.Get(key)
+		outputs = append(outputs, event.Send{Peer: key, Link: held.link, Message: body})
+	}
+	return outputs
+}
+
+// Beats returns the latest beats of the entries that are connected.
+func (mesh *Mesh) Beats() []message.EntryBeat {
+	var beats []message.EntryBeat
+	for _, key := range mesh.links.Keys() {
+		if held, _ := mesh.links.Get(key); held.known {
+			beats = append(beats, held.beat)
+		}
+	}
+	return beats
+}
+
+// Addresses returns the entries that are connected, for others to dial.
+func (mesh *Mesh) Addresses() []string {
+	addresses := []string{mesh.settings.Self}
+	for _, key := range mesh.links.Keys() {
+		held, _ := mesh.links.Get(key)
+		addresses = append(addresses, held.peer)
+	}
+	return addresses
+}
+
+// Entries returns how many entries shared the load lately, this one included.
+func (mesh *Mesh) Entries(now time.Duration) int {
+	count := 1
+	for _, address := range mesh.heard.Keys() {
+		if seen, _ := mesh.heard.Get(address); now-seen < entryMemory {
+			count++
+			continue
+		}
+		mesh.heard.Delete(address)
+	}
+	return count
+}
--- /dev/null
+++ b/internal/core/roster/roster.go
@@ -0,0 +1,186 @@
+// Package roster keeps the published list of upstreams as one entry believes it.
+package roster
+
+import (
+	"time"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/data/table"
+	"endivepost/internal/wire/message"
+)
+
+// Roster decides which upstreams may be sent new work. Rows only move forward
+// in their revisions, whoever reports them: the list, a watch, or a peer.
+type Roster struct {
+	rows       *table.Table[string, row]
+	away       bool
+	regainedAt time.Duration
+	regained   bool
+}
+
+type row struct {
+	upstream event.Upstream
+	// revision is that of the newest word on the upstream.
+	revision uint64
+	leaving  bool
+	// leftAt is when it may be sent nothing more, if it is leaving.
+	leftAt time.Duration
+	toldAt time.Duration
+}
+
+const (
+	// lapseGrace is how long after the configuration service's return rows that
+	// expired meanwhile may still come back.
+	lapseGrace = 2200 * time.Millisecond
+	// departureMemory is how long peers are told of a departure.
+	departureMemory = 10 * time.Second
+	// rowMemory is how long a row that is gone is kept, so that an older word
+	// cannot bring it back.
+	rowMemory = 2 * time.Minute
+)
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{rows: table.New[string, row]()}
+}
+
+// List takes a row as it was published and says whether it changed anything
+// that matters here.
+func (roster *Roster) List(now time.Duration, upstream event.Upstream) bool {
+	held, known := roster.rows.Get(upstream.Name)
+	if known && upstream.Revision <= held.revision {
+		return false
+	}
+	changed := !known || held.upstream.Address != upstream.Address || held.leaving != upstream.Leaving
+	next := row{upstream: upstream, revision: upstream.Revision, leaving: upstream.Leaving, leftAt: now, toldAt: now}
+	if known && held.leaving && upstream.Leaving {
+		next.leftAt = held.leftAt
+		next.toldAt = held.toldAt
+	}
+	roster.rows.Put(upstream.Name, next)
+	return changed
+}
+
+// Remove takes the word that the row was removed at the revision. While the
+// configuration service is away or just back the row may only have expired: the
+// upstream stays in use until rows that expired would be back.
+func (roster *Roster) Remove(now time.Duration, name string, revision uint64) bool {
+	held, known := roster.rows.Get(name)
+	if !known || revision <= held.revision || held.leaving {
+		return false
+	}
+	held.leaving = true
+	held.revision = revision
+	held.leftAt = now
+	held.toldAt = now
+	if roster.away {
+		held.leftAt = now + lapseGrace
+	} else if roster.regained && now < roster.regainedAt+lapseGrace {
+		held.leftAt = roster.regainedAt + lapseGrace
+	}
+	roster.rows.Put(name, held)
+	return true
+}
+
+// Replace takes the whole list as it was at the revision, and returns the names
+// whose rows changed.
+func (roster *Roster) Replace(now time.Duration, upstreams []event.Upstream, revision uint64) []string {
+	var changed []string
+	listed := make(map[string]bool, len(upstreams))
+	for _, upstream := range upstreams {
+		listed[upstream.Name] = true
+		if roster.List(now, upstream) {
+			changed = append(changed, upstream.Name)
+		}
+	}
+	for _, name := range roster.rows.Keys() {
+		if !listed[name] && roster.Remove(now, name, revision) {
+			changed = append(changed, name)
+		}
+	}
+	return changed
+}
+
+// Depart takes a peer's word that an upstream is leaving or gone.
+func (roster *Roster) Depart(now time.Duration, departure message.Departure) bool {
+	held, known := roster.rows.Get(departure.Upstream)
+	if !known || departure.Revision <= held.revision || held.leaving {
+		return false
+	}
+	held.leaving = true
+	held.revision = departure.Revision
+	held.leftAt = now
+	held.toldAt = now
+	roster.rows.Put(departure.Upstream, held)
+	return true
+}
+
+// Mistaken takes the word of the upstream at a row's address that it is another
+// one: the row is out of date.
+func (roster *Roster) Mistaken(now time.Duration, name string) {
+	held, known := roster.rows.Get(name)
+	if !known {
+		return
+	}
+	held.leaving = true
+	held.leftAt = now
+	roster.rows.Put(name, held)
+}
+
+// StoreLost records that the configuration service stopped answering.
+func (roster *Roster) StoreLost() {
+	roster.away = true
+}
+
+// StoreRegained records that it answers again.
+func (roster *Roster) StoreRegained(now time.Duration) {
+	roster.away = false
+	roster.regained = true
+	roster.regainedAt = now
+	for _, name := range roster.rows.Keys() {
+		held, _ := roster.rows.Get(name)
+		if held.leaving && held.leftAt > now {
+			held.leftAt = now + lapseGrace
+			roster.rows.Put(name, held)
+		}
+	}
+}
+
+// Usable says whether the upstream may be sent new work.
+func (roster *Roster) Usable(now time.Duration, name string) bool {
+	held, known := roster.rows.Get(name)
+	return known && (!held.leaving || now < held.leftAt)
+}
+
+// Find returns the row of that name and whether there is one.
+func (roster *Roster) Find(name string) (event.Upstream, bool) {
+	held, known := roster.rows.Get(name)
+	return held.upstream, known
+}
+
+// InPool returns the upstreams of a pool that may be sent new work.
+func (roster *Roster) InPool(now time.Duration, pool string) []event.Upstream {
+	var found []event.Upstream
+	for _, name := range roster.rows.Keys() {
+		if held, _ := roster.rows.Get(name); held.upstream.Pool == pool && roster.Usable(now, name) {
+			found = append(found, held.upstream)
+		}
+	}
+	return found
+}
+
+// Departures returns the recent ones, for peers, and forgets old rows.
+func (roster *Roster) Departures(now time.Duration) []message.Departure {
+	var departures []message.Departure
+	for _, name := range roster.rows.Keys() {
+		held, _ := roster.rows.Get(name)
+		switch {
+		case !held.leaving || now < held.leftAt:
+		case now-held.toldAt < departureMemory:
+			departures = append(departures, message.Departure{Upstream: name, Revision: held.revision})
+		case now-held.toldAt > rowMemory:
+			roster.rows.Delete(name)
+		}
+	}
+	return departures
+}
--- /dev/null
+++ b/internal/node/direct/direct.go
@@ -0,0 +1,266 @@
+// Package direct is the process that callers reach where upstreams have no
+// sidecars: the shell of the dispatcher.
+package direct
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"endivepost/internal/config/index"
+	"endivepost/internal/core/dispatch"
+	"endivepost/internal/core/event"
+	"endivepost/internal/core/mesh"
+	"endivepost/internal/node/dialect"
+	"endivepost/internal/node/exchange"
+	"endivepost/internal/node/httpserver"
+	"endivepost/internal/node/loop"
+	"endivepost/internal/node/telemetry"
+	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/wire/link"
+	"endivepost/internal/wire/message"
+)
+
+// Entry moves bytes between callers, the dispatcher and upstreams.
+type Entry struct {
+	settings   Settings
+	telemetry  *telemetry.Telemetry
+	dispatcher *dispatch.Dispatcher
+	loop       *loop.Loop
+	exchange   *exchange.Exchange
+	index      atomic.Pointer[index.Index]
+	ready      atomic.Bool
+	draining   atomic.Bool
+	sequence   atomic.Uint64
+	drained    chan struct{}
+	mutex      sync.Mutex
+	links      map[string]numbered
+	calls      map[message.RequestID]*orders
+}
+
+// Settings of an Entry. Boot must be random: it makes request IDs unique.
+type Settings struct {
+	Name   string
+	Domain string
+	// CallerAddress takes callers, ReadyAddress questions at ReadyPath whether new
+	// connections may come, PeerAddress other entries, MetricsAddress scrapes.
+	CallerAddress  string
+	ReadyAddress   string
+	ReadyPath      string
+	PeerAddress    string
+	MetricsAddress string
+	// Peers are addresses at which some other entries may be reached.
+	Peers   []string
+	Secret  string
+	Boot    uint64
+	Dialect dialect.Dialect
+	Retries retrywindow.Settings
+	// Grace is the time from SIGTERM until the process is killed.
+	Grace time.Duration
+	// Follow tells of the document and the upstreams until the context ends.
+	Follow func(ctx context.Context, tell func(event.Input))
+}
+
+type numbered struct {
+	link   *link.Link
+	number uint64
+}
+
+const (
+	beatEvery       = 200 * time.Millisecond
+	silenceLimit    = 2500 * time.Millisecond
+	redialAfter     = 300 * time.Millisecond
+	peerFanout      = 8
+	waitForUpstream = 400 * time.Millisecond
+	dialTimeout     = 350 * time.Millisecond
+	upstreamIdle    = 4 * time.Second
+	mostIdle        = 64
+	pruneEvery      = time.Second
+	// balancerLinger is how long new connections may still come after this
+	// process says that it is not ready: two missed questions a second apart.
+	balancerLinger = 3 * time.Second
+	// exitMargin is kept between our own end and the kill at the end of the grace.
+	exitMargin    = 500 * time.Millisecond
+	shutdownGrace = 300 * time.Millisecond
+	flushWithin   = 100 * time.Millisecond
+)
+
+// New returns an entry that is not running yet.
+func New(settings Settings, observe *telemetry.Telemetry) *Entry {
+	entry := &Entry{
+		settings:  settings,
+		telemetry: observe,
+		exchange:  exchange.New(exchange.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdle, MostIdle: mostIdle}),
+		drained:   make(chan struct{}),
+		links:     make(map[string]numbered),
+		calls:     make(map[message.RequestID]*orders),
+	}
+	random := rand.New(rand.NewPCG(settings.Boot, settings.Boot))
+	entry.dispatcher = dispatch.New(dispatch.Settings{
+		Domain: settings.Domain,
+		Mesh: mesh.Settings{
+			Self: settings.PeerAddress, Fanout: peerFanout, SilenceLimit: silenceLimit, RedialAfter: redialAfter, Random: random,
+		},
+		Retries:         settings.Retries,
+		Random:          random,
+		BeatEvery:       beatEvery,
+		WaitForUpstream: waitForUpstream,
+		DrainTime:       settings.Grace - exitMargin,
+	})
+	entry.loop = loop.New(entry.dispatcher, time.Now(), entry.perform)
+	return entry
+}
+
+// Run serves until the context ends, then drains: it goes on taking what still
+// comes until the balancer has let go, and ends what it has.
+func (entry *Entry) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("entry %s: %w", entry.settings.Name, err)
+		}
+	}()
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	callers, err := entry.listen(running)
+	if err != nil {
+		return err
+	}
+	go entry.loop.Run(running)
+	for _, address := range entry.settings.Peers {
+		entry.loop.Tell(event.PeerFound{Address: address})
+	}
+	go entry.settings.Follow(running, entry.loop.Tell)
+	go entry.prune(running)
+	entry.log("started").WithFields(logrus.Fields{
+		"domain": entry.settings.Domain, "listen": entry.settings.CallerAddress, "peers": len(entry.settings.Peers),
+	}).Info()
+	<-ctx.Done()
+	entry.drain(callers)
+	return nil
+}
+
+// listen opens all listeners and returns that for callers.
+func (entry *Entry) listen(ctx context.Context) (*httpserver.Server, error) {
+	callers, err := httpserver.Listen(entry.settings.CallerAddress, http.HandlerFunc(entry.serve))
+	if err != nil {
+		return nil, err
+	}
+	if _, err := httpserver.Listen(entry.settings.ReadyAddress, http.HandlerFunc(entry.serveReady)); err != nil {
+		return nil, err
+	}
+	if _, err := httpserver.Listen(entry.settings.PeerAddress, entry.peerRoutes()); err != nil {
+		return nil, err
+	}
+	if entry.settings.MetricsAddress == "" {
+		return callers, nil
+	}
+	_, err = httpserver.Listen(entry.settings.MetricsAddress, entry.metricsRoutes(ctx))
+	return callers, err
+}
+
+func (entry *Entry) drain(callers *httpserver.Server) {
+	begun := time.Now()
+	entry.log("draining").WithField("in-progress", entry.inProgress()).Info()
+	entry.draining.Store(true)
+	entry.loop.Tell(event.DrainBegun{})
+	time.Sleep(balancerLinger)
+	deadline := begun.Add(entry.settings.Grace - exitMargin)
+	for entry.inProgress() > 0 && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		entry.log("shutdown-cut-off").WithError(err).WithField("in-progress", entry.inProgress()).Warn()
+	}
+	entry.closeLinks()
+	entry.log("stopped").Info()
+}
+
+func (entry *Entry) inProgress() int {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	return len(entry.calls)
+}
+
+// prune drops connections to upstreams that are too old to be used again.
+func (entry *Entry) prune(ctx context.Context) {
+	ticker := time.NewTicker(pruneEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			entry.exchange.Prune(now)
+		}
+	}
+}
+
+func (entry *Entry) perform(output event.Output) {
+	switch output := output.(type) {
+	case event.Attempt:
+		entry.order(output.ID, output)
+	case event.Finish:
+		entry.order(output.ID, output)
+	case event.Stop:
+		if found, ok := entry.findOrders(output.ID); ok {
+			found.stop()
+		}
+	case event.Send:
+		if found, ok := entry.findLink(output.Peer, output.Link); ok {
+			found.Send(output.Message)
+		}
+	case event.Dial:
+		go entry.dial(output)
+	case event.Hangup:
+		if found, ok := entry.findLink(output.Peer, output.Link); ok {
+			found.Close()
+		}
+	default:
+		entry.note(output)
+	}
+}
+
+// note takes what changes the belief of the process.
+func (entry *Entry) note(output event.Output) {
+	switch output := output.(type) {
+	case event.DocumentAccepted:
+		entry.index.Store(index.New(output.Document))
+		entry.log("config-accepted").WithFields(logrus.Fields{
+			"version": output.Document.Version, "classes": len(output.Document.Classes), "accounts": len(output.Document.Accounts),
+		}).Info()
+	case event.DocumentRejected:
+		entry.log("config-rejected").WithError(output.Err).Error()
+	case event.Believed:
+		entry.log(output.Subject + "-" + output.State).WithFields(logrus.Fields{"name": output.Name, "version": output.Version}).Info()
+	case event.Ready:
+		entry.ready.Store(true)
+		entry.log("ready").Info()
+	case event.Drained:
+		close(entry.drained)
+	}
+}
+
+func (entry *Entry) order(id message.RequestID, output event.Output) {
+	if found, ok := entry.findOrders(id); ok {
+		found.queue <- output
+	}
+}
+
+func (entry *Entry) findOrders(id message.RequestID) (*orders, bool) {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	found, ok := entry.calls[id]
+	return found, ok
+}
+
+func (entry *Entry) log(name string) *logrus.Entry {
+	return entry.telemetry.Log.WithFields(logrus.Fields{"event": name, "process": entry.settings.Name})
+}
--- /dev/null
+++ b/internal/node/direct/links.go
@@ -0,0 +1,79 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/core/mesh"
+	"endivepost/internal/wire/link"
+	"endivepost/internal/wire/message"
+)
+
+// identity names this entry to others by the address at which it is reached.
+func (entry *Entry) identity() link.Identity {
+	return link.Identity{Name: entry.settings.PeerAddress, Boot: entry.settings.Boot}
+}
+
+func (entry *Entry) peerRoutes() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/link", entry.acceptLink)
+	return router
+}
+
+func (entry *Entry) metricsRoutes(context.Context) http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", entry.telemetry.Handler)
+	return router
+}
+
+func (entry *Entry) acceptLink(writer http.ResponseWriter, request *http.Request) {
+	accepted, err := link.Accept(writer, request, entry.settings.Secret, entry.identity())
+	if err != nil {
+		entry.log("link-refused").WithError(err).Warn()
+		return
+	}
+	entry.serveLink(mesh.Accepted(accepted.Peer().Name), entry.sequence.Add(1), accepted)
+}
+
+func (entry *Entry) dial(wanted event.Dial) {
+	dialled, err := link.Dial(wanted.Address, entry.settings.Secret, entry.identity())
+	if err != nil {
+		entry.log("dial-failed").WithField("peer", wanted.Peer).WithError(err).Warn()
+		entry.loop.Tell(event.LinkClosed{Peer: wanted.Peer, Link: wanted.Link})
+		return
+	}
+	entry.serveLink(wanted.Peer, wanted.Link, dialled)
+}
+
+// serveLink passes on what the other entry says until the connection ends.
+func (entry *Entry) serveLink(peer string, number uint64, opened *link.Link) {
+	entry.mutex.Lock()
+	entry.links[peer] = numbered{link: opened, number: number}
+	entry.mutex.Unlock()
+	entry.loop.Tell(event.LinkOpened{Peer: peer, Link: number, Boot: opened.Peer().Boot})
+	entry.log("link-opened").WithField("peer", peer).Info()
+	err := opened.Run(func(body message.Message) {
+		entry.loop.Tell(event.Received{Peer: peer, Link: number, Message: body})
+	})
+	entry.loop.Tell(event.LinkClosed{Peer: peer, Link: number})
+	entry.log("link-closed").WithField("peer", peer).WithError(err).Info()
+}
+
+func (entry *Entry) findLink(peer string, number uint64) (*link.Link, bool) {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	held, ok := entry.links[peer]
+	return held.link, ok && held.number == number
+}
+
+func (entry *Entry) closeLinks() {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	for _, held := range entry.links {
+		held.link.Flush(flushWithin)
+		held.link.Close()
+	}
+}
--- /dev/null
+++ b/internal/node/eventstream/eventstream.go
@@ -0,0 +1,56 @@
+// Package eventstream reads server-sent events.
+package eventstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// Reader reads whole events from a stream.
+type Reader struct {
+	buffered *bufio.Reader
+}
+
+const (
+	readBytes     = 32 << 10
+	maxEventBytes = 1 << 20
+)
+
+// New returns a Reader on the stream.
+func New(stream io.Reader) *Reader {
+	return &Reader{buffered: bufio.NewReaderSize(stream, readBytes)}
+}
+
+// Next reads up to and with the blank line that ends an event. A line may be
+// longer than the buffer; an event that is cut off is not returned. The error is
+// io.EOF at the end of the stream, and io.ErrUnexpectedEOF inside an event.
+func (reader *Reader) Next() ([]byte, error) {
+	var data []byte
+	for {
+		line, err := reader.buffered.ReadBytes('\n')
+		data = append(data, line...)
+		if err == io.EOF && len(data) > 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(data) > maxEventBytes {
+			return nil, bufio.ErrTooLong
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return data, nil
+		}
+	}
+}
+
+// ID returns the value of the event's id field and whether it has one.
+func ID(data []byte) (string, bool) {
+	for line := range bytes.Lines(data) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -2,7 +2,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -18,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"endivepost/internal/core/event"
+	"endivepost/internal/node/eventstream"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/wire/message"
 )
@@ -48,7 +48,6 @@
 }
 
 const (
-	maxEventBytes  = 1 << 20
 	readBytes      = 32 << 10
 	connectTimeout = 2 * time.Second
 	mostIdle       = 1024
@@ -234,10 +233,10 @@
 // relayEvents passes on one server-sent event a part. Only the end mark makes
 // the stream whole.
 func (upstream *Upstream) relayEvents(id message.RequestID, body io.Reader, watchdog *time.Timer) error {
-	reader := bufio.NewReaderSize(body, readBytes)
+	reader := eventstream.New(body)
 	done := false
 	for {
-		data, err := readEvent(reader)
+		data, err := reader.Next()
 		if len(data) > 0 {
 			watchdog.Reset(upstream.settings.Stall)
 			upstream.tell(event.UpstreamAnswered{ID: id, Data: data})
@@ -255,25 +254,6 @@
 	}
 }
 
-// readEvent reads up to and with the blank line that ends an event. A line may
-// be longer than the reader's buffer; an event cut off is not returned.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
-	var data []byte
-	for {
-		line, err := reader.ReadBytes('\n')
-		data = append(data, line...)
-		if err != nil {
-			return nil, err
-		}
-		if len(data) > maxEventBytes {
-			return nil, bufio.ErrTooLong
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return data, nil
-		}
-	}
-}
-
 // droppedHeaders are the fields of an answer that hold for one connection only.
 var droppedHeaders = map[string]bool{
 	"Connection": true, "Transfer-Encoding": true, "Keep-Alive": true, "Date": true, "Content-Length": true,
--- /dev/null
+++ b/internal/policy/enginechoice/enginechoice.go
@@ -0,0 +1,95 @@
+// Package enginechoice picks a model engine for a request by what the request
+// would wait there and by what it would cost the streams that run there.
+package enginechoice
+
+import "time"
+
+// Candidate is an engine as the entry believes it, with the work of all entries.
+type Candidate struct {
+	// Running counts requests, Batch is how many run at a time.
+	Running int
+	Batch   int
+	// Reading counts the prompt tokens that are still to be read for others.
+	Reading int
+	// Urgent counts running streams with a short target between tokens.
+	Urgent int
+	// Unread counts the tokens of the request's own prompt that are not kept there.
+	Unread int
+	// Slowness is the engine's measured time against that of its peers; 1 is usual.
+	Slowness float64
+	// Far says that the engine is in another failure domain.
+	Far bool
+}
+
+// Ask is what the choice needs to know of the request. Urgent is true for a
+// stream with a short target between tokens.
+type Ask struct {
+	Urgent bool
+}
+
+const (
+	// tokensPerMs is how fast an engine reads prompts, for engines that do not
+	// publish it; only the proportion to the other costs matters.
+	tokensPerMs = 60.0
+	// streamCost is what a running stream adds to each step of the others, in ms
+	// over the length of an answer.
+	streamCost = 2.0
+	// readingHurts weighs a millisecond of reading that delays an urgent stream.
+	readingHurts = 3.0
+	// longRead is the reading, in tokens, that delays the tokens of a running
+	// stream beyond a short target: one chunk fits between two events.
+	longRead = 2048.0
+	// fullCost is the wait for a place in a full batch, in ms.
+	fullCost = 400.0
+	// farCost is the time for a hop between failure domains, in ms.
+	farCost = 1.0
+)
+
+// Choose returns the index of the cheapest candidate, the first of equals, and
+// -1 without candidates. It answers two load patterns: long prompts that arrive
+// in a burst and delay the tokens of all streams beside them, and prompts with a
+// common prefix that are read again wherever they have not run before.
+func Choose(ask Ask, candidates []Candidate) int {
+	best := -1
+	least := 0.0
+	for i, candidate := range candidates {
+		cost := candidate.Cost(ask)
+		if best < 0 || cost < least {
+			best = i
+			least = cost
+		}
+	}
+	return best
+}
+
+// Cost returns the cost of the candidate for the request, in ms.
+func (candidate Candidate) Cost(ask Ask) float64 {
+	reading := float64(candidate.Reading) / tokensPerMs
+	own := float64(candidate.Unread) / tokensPerMs
+	cost := reading + own + streamCost*float64(candidate.Running)
+	if ask.Urgent {
+		cost += readingHurts * reading
+	}
+	if float64(candidate.Unread) > longRead/2 {
+		cost += readingHurts * own * min(float64(candidate.Urgent), maxUrgent) / maxUrgent
+	}
+	if candidate.Batch > 0 && candidate.Running >= candidate.Batch {
+		cost += fullCost * float64(candidate.Running-candidate.Batch+1) / float64(candidate.Batch)
+	}
+	if candidate.Slowness > 0 {
+		cost *= candidate.Slowness
+	}
+	if candidate.Far {
+		cost += farCost
+	}
+	return cost
+}
+
+// maxUrgent is the number of urgent streams beyond which more of them do not
+// make an engine worse for a long prompt.
+const maxUrgent = 4.0
+
+// ReadingTime returns how long an engine takes to read so many tokens.
+func ReadingTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / tokensPerMs * float64(time.Millisecond))
+}
--- a/internal/wire/message/message.go
+++ b/internal/wire/message/message.go
@@ -240,6 +240,33 @@
 	Patches [][]byte `cbor:"2,keyasint,omitempty"`
 }
 
+// EntryBeat is what entries without sidecars tell each other. Uses holds what
+// the sender has in progress; an upstream that it leaves out is idle there.
+type EntryBeat struct {
+	ConfigVersion uint64      `cbor:"1,keyasint,omitempty"`
+	Entries       []string    `cbor:"2,keyasint,omitempty"`
+	Uses          []Use       `cbor:"3,keyasint,omitempty"`
+	Departures    []Departure `cbor:"4,keyasint,omitempty"`
+	Suspicions    []Suspicion `cbor:"5,keyasint,omitempty"`
+	Leaving       bool        `cbor:"6,keyasint,omitempty"`
+}
+
+// Use is one entry's work in progress at one upstream.
+type Use struct {
+	Upstream string `cbor:"1,keyasint"`
+	Running  int    `cbor:"2,keyasint,omitempty"`
+	// Reading counts the prompt tokens of requests without a first event yet.
+	Reading int `cbor:"3,keyasint,omitempty"`
+	// Urgent counts the running streams with a short target between tokens.
+	Urgent int `cbor:"4,keyasint,omitempty"`
+}
+
+// Departure says that an upstream is leaving or gone since a revision of its row.
+type Departure struct {
+	Upstream string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+}
+
 const (
 	kindHeartbeat uint8 = iota + 1
 	kindReserve
@@ -252,6 +279,7 @@
 	kindAttach
 	kindConfigPull
 	kindConfig
+	kindEntryBeat
 )
 
 func (Heartbeat) kind() uint8  { return kindHeartbeat }
@@ -265,6 +293,7 @@
 func (Attach) kind() uint8     { return kindAttach }
 func (ConfigPull) kind() uint8 { return kindConfigPull }
 func (Config) kind() uint8     { return kindConfig }
+func (EntryBeat) kind() uint8  { return kindEntryBeat }
 
 type envelope struct {
 	_    struct{} `cbor:",toarray"`
@@ -331,6 +360,7 @@
 	kindAttach:     decodeAs[Attach],
 	kindConfigPull: decodeAs[ConfigPull],
 	kindConfig:     decodeAs[Config],
+	kindEntryBeat:  decodeAs[EntryBeat],
 }
 
 func decodeAs[M Message](body []byte) (Message, error) {
