Keep entries running on SIGHUP, and end a resumed stream that fails as cut

Change: SIGHUP reads the settings again, a faulty file changes nothing. The dispatcher ends a request that has part of one answer as incomplete.

--- a/cmd/endivepost/main_test.go
+++ b/cmd/endivepost/main_test.go
@@ -204,7 +204,7 @@
 }
 
 var signals = map[string]syscall.Signal{
-	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "HUP": syscall.SIGHUP,
 }
 
 // sendSignal sends a signal to a background command by its name.
--- a/internal/command/verbs/check.go
+++ b/internal/command/verbs/check.go
@@ -8,27 +8,48 @@
 	"github.com/urfave/cli/v2"
 
 	"endivepost/internal/config/document"
+	"endivepost/platform"
 )
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "platform", Usage: "the file is a settings file of the users' platform"},
+		},
 		Action: func(ctx *cli.Context) error {
 			file := ctx.Args().First()
 			if file == "" {
-				return errors.New("check: name the file with the class document")
-			}
-			raw, err := os.ReadFile(file)
-			if err != nil {
-				return fmt.Errorf("check: %w", err)
+				return errors.New("check: name the file to check")
 			}
-			parsed, err := document.Parse(raw)
-			if err != nil {
-				return fmt.Errorf("%s: %w", file, err)
+			if ctx.Bool("platform") {
+				return checkSettings(ctx, file)
 			}
-			_, err = fmt.Fprintf(ctx.App.Writer, "%s: version %d is valid: %d classes, %d accounts, %d upstreams\n",
-				file, parsed.Version, len(parsed.Classes), len(parsed.Accounts), len(parsed.Upstreams))
-			return err
+			return checkDocument(ctx, file)
 		},
 	}
 }
+
+func checkDocument(ctx *cli.Context, file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("check: %w", err)
+	}
+	parsed, err := document.Parse(raw)
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	_, err = fmt.Fprintf(ctx.App.Writer, "%s: version %d is valid: %d classes, %d accounts, %d upstreams\n",
+		file, parsed.Version, len(parsed.Classes), len(parsed.Accounts), len(parsed.Upstreams))
+	return err
+}
+
+func checkSettings(ctx *cli.Context, file string) error {
+	read, err := platform.ReadSettings(file)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(ctx.App.Writer, "%s: entry %q in failure domain %q, callers at %s, %d other entries known, store at %s\n",
+		file, read.Name, read.Domain, read.CallerAddress, len(read.Peers), read.StoreAddress)
+	return err
+}
--- a/internal/command/verbs/platform_entry.go
+++ b/internal/command/verbs/platform_entry.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v2"
@@ -40,6 +42,9 @@
 }
 
 func runPlatformEntry(ctx *cli.Context) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	read, err := platform.ReadSettings(ctx.String("settings"))
 	if err != nil {
 		return err
@@ -70,9 +75,29 @@
 			platform.NewFollower(read.StoreAddress, observe.Log, tell).Run(following)
 		},
 	}, observe)
+	go reloadOnSignal(ctx, hangups, observe, entry)
 	return entry.Run(ctx.Context)
 }
 
+// reloadOnSignal reads the settings file again on SIGHUP. What changes while an
+// entry runs are the addresses of others; a faulty file changes nothing.
+func reloadOnSignal(ctx *cli.Context, hangups <-chan os.Signal, observe *telemetry.Telemetry, entry *direct.Entry) {
+	for {
+		select {
+		case <-ctx.Context.Done():
+			return
+		case <-hangups:
+		}
+		read, err := platform.ReadSettings(ctx.String("settings"))
+		if err != nil {
+			observe.Log.WithField("event", "reload-failed").WithError(err).Error()
+			continue
+		}
+		observe.Log.WithField("event", "reloaded").WithField("peers", len(read.Peers)).Info()
+		entry.FindPeers(read.Peers)
+	}
+}
+
 func metricsAddress(read platform.Settings, port int) (string, error) {
 	if port == 0 {
 		return "", nil
--- a/internal/command/verbs/verbs.go
+++ b/internal/command/verbs/verbs.go
@@ -26,7 +26,7 @@
 	{"entry", "serve callers on an entry VM", "endivepost entry --name entry-1 --platform http://10.0.0.2:7000", entryCommand},
 	{"sidecar", "serve one upstream in the slot beside it", "endivepost sidecar --name runner-1 --upstream 127.0.0.1:8000", sidecarCommand},
 	{"platform-entry", "serve callers on an entry VM of the users' platform", "endivepost platform-entry --settings local.toml", platformEntryCommand},
-	{"check", "check a class document before it is published", "endivepost check classes.json", checkCommand},
+	{"check", "check a class document or a settings file before it is used", "endivepost check classes.json", checkCommand},
 	{"attainment", "show how far each class meets its target", "endivepost attainment --platform http://10.0.0.2:7000", attainmentCommand},
 	{"status", "show the processes and what each has in force", "endivepost status --platform http://10.0.0.2:7000", statusCommand},
 	{"explain", "say in plain words why a class misses its target", "endivepost explain guide --platform http://10.0.0.2:7000", explainCommand},
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -279,14 +279,19 @@
 }
 
 // retryErred sends a repeatable request to another upstream after a failure of
-// the first; otherwise the caller gets the upstream's own answer.
+// the first; otherwise the caller gets the upstream's own answer, unless part of
+// another one has gone out already.
 func (dispatcher *Dispatcher) retryErred(now time.Duration, row requestRow) {
 	_, found := dispatcher.choose(now, row)
-	if !found || !row.mayRepeat(now) || !dispatcher.window(row.pool).Take(now, dispatcher.mesh.Entries(now)) {
-		dispatcher.finish(row, message.Failed, message.NoReason)
+	if found && row.mayRepeat(now) && dispatcher.window(row.pool).Take(now, dispatcher.mesh.Entries(now)) {
+		dispatcher.place(now, row)
 		return
 	}
-	dispatcher.place(now, row)
+	if row.delivered {
+		dispatcher.giveUp(row, message.UpstreamDown)
+		return
+	}
+	dispatcher.finish(row, message.Failed, message.NoReason)
 }
 
 // giveUp ends a request at once. Its outcome is not-run only if no upstream can
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -38,7 +38,6 @@
 	ready      atomic.Bool
 	draining   atomic.Bool
 	sequence   atomic.Uint64
-	drained    chan struct{}
 	mutex      sync.Mutex
 	links      map[string]numbered
 	calls      map[message.RequestID]*orders
@@ -97,7 +96,6 @@
 		settings:  settings,
 		telemetry: observe,
 		exchange:  exchange.New(exchange.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdle, MostIdle: mostIdle}),
-		drained:   make(chan struct{}),
 		links:     make(map[string]numbered),
 		calls:     make(map[message.RequestID]*orders),
 	}
@@ -132,9 +130,7 @@
 		return err
 	}
 	go entry.loop.Run(running)
-	for _, address := range entry.settings.Peers {
-		entry.loop.Tell(event.PeerFound{Address: address})
-	}
+	entry.FindPeers(entry.settings.Peers)
 	go entry.settings.Follow(running, entry.loop.Tell)
 	go entry.prune(running)
 	entry.log("started").WithFields(logrus.Fields{
@@ -145,6 +141,13 @@
 	return nil
 }
 
+// FindPeers adds addresses at which other entries may be reached.
+func (entry *Entry) FindPeers(addresses []string) {
+	for _, address := range addresses {
+		entry.loop.Tell(event.PeerFound{Address: address})
+	}
+}
+
 // listen opens all listeners and returns that for callers.
 func (entry *Entry) listen(ctx context.Context) (*httpserver.Server, error) {
 	callers, err := httpserver.Listen(entry.settings.CallerAddress, http.HandlerFunc(entry.serve))
@@ -244,7 +247,7 @@
 		entry.ready.Store(true)
 		entry.log("ready").Info()
 	case event.Drained:
-		close(entry.drained)
+		entry.log("drained").Info()
 	}
 }
 
