Stop taking work once the balancer has let go; rank by account, then class

(2) All accounts of both sites have a priority, so the tiers of the classes were never seen by an engine.

Change: 2.8 s after SIGTERM the listener and the idle connections close and the rest of the grace is for what is in progress. The tier of a request is its place among all pairs of account tier and class tier.

Ruled out for (1): refusing by the time left; callers are served sooner by a process that ends and starts again.

Tests: TestDrain (before the change new connections were taken for as long as the stream ran), TestRanks.

--- a/internal/config/index/index.go
+++ b/internal/config/index/index.go
@@ -2,9 +2,12 @@
 package index
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 
@@ -16,6 +19,14 @@
 	document document.Document
 	byHost   map[string][]document.Class
 	accounts map[string]document.Account
+	ranks    map[rank]int
+}
+
+// rank orders requests: the account's tier goes first, the tier of the class
+// decides among equals.
+type rank struct {
+	first  int
+	second int
 }
 
 // New returns the index of a document.
@@ -24,7 +35,9 @@
 		document: published,
 		byHost:   make(map[string][]document.Class),
 		accounts: make(map[string]document.Account),
+		ranks:    make(map[rank]int),
 	}
+	index.setRanks()
 	for _, class := range published.Classes {
 		host := strings.ToLower(class.Host)
 		index.byHost[host] = append(index.byHost[host], class)
@@ -69,3 +82,34 @@
 	account, ok := index.accounts[hex.EncodeToString(sum[:])]
 	return account, ok
 }
+
+// Tier returns the tier of a request of the account in the class: 1 for the
+// highest among all that the document allows. A class without account has its
+// own tier in first place.
+func (index *Index) Tier(account document.Account, class document.Class) int {
+	return index.ranks[rankOf(account, class)]
+}
+
+func rankOf(account document.Account, class document.Class) rank {
+	if account.Tier == 0 {
+		return rank{first: class.Tier, second: class.Tier}
+	}
+	return rank{first: account.Tier, second: class.Tier}
+}
+
+func (index *Index) setRanks() {
+	accounts := append([]document.Account{{}}, index.document.Accounts...)
+	for _, class := range index.document.Classes {
+		for _, account := range accounts {
+			if account.Name != "" || class.Open || len(index.document.Accounts) == 0 {
+				index.ranks[rankOf(account, class)] = 0
+			}
+		}
+	}
+	sorted := slices.SortedFunc(maps.Keys(index.ranks), func(left, right rank) int {
+		return cmp.Or(cmp.Compare(left.first, right.first), cmp.Compare(left.second, right.second))
+	})
+	for i, rank := range sorted {
+		index.ranks[rank] = i + 1
+	}
+}
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -83,11 +83,10 @@
 	pruneEvery      = time.Second
 	// balancerLinger is how long new connections may still come after this
 	// process says that it is not ready: two missed questions a second apart.
-	balancerLinger = 3 * time.Second
+	balancerLinger = 2800 * time.Millisecond
 	// exitMargin is kept between our own end and the kill at the end of the grace.
-	exitMargin    = 500 * time.Millisecond
-	shutdownGrace = 300 * time.Millisecond
-	flushWithin   = 100 * time.Millisecond
+	exitMargin  = 500 * time.Millisecond
+	flushWithin = 100 * time.Millisecond
 )
 
 // New returns an entry that is not running yet.
@@ -167,18 +166,15 @@
 	return callers, err
 }
 
+// drain lets the balancer go, then closes what is idle and waits for what is in
+// progress. A request that came later than that could not end within the grace.
 func (entry *Entry) drain(callers *httpserver.Server) {
-	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), entry.settings.Grace-exitMargin)
+	defer cancel()
 	entry.log("draining").WithField("in-progress", entry.inProgress()).Info()
 	entry.draining.Store(true)
 	entry.loop.Tell(event.DrainBegun{})
-	time.Sleep(balancerLinger)
-	deadline := begun.Add(entry.settings.Grace - exitMargin)
-	for entry.inProgress() > 0 && time.Now().Before(deadline) {
-		time.Sleep(20 * time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
+	time.Sleep(min(balancerLinger, entry.settings.Grace-exitMargin))
 	if err := callers.Shutdown(ctx); err != nil {
 		entry.log("shutdown-cut-off").WithError(err).WithField("in-progress", entry.inProgress()).Warn()
 	}
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -117,12 +117,9 @@
 		return nil, err
 	}
 	resolved := event.Request{
-		Account: account.Name, Class: class, Tier: class.Tier, Budget: call.Budget, Prompt: call.Prompt,
+		Account: account.Name, Class: class, Tier: published.Tier(account, class), Budget: call.Budget, Prompt: call.Prompt,
 		Fingerprint: fingerprint(account.Name, request, body),
 	}
-	if account.Tier > 0 {
-		resolved.Tier = account.Tier
-	}
 	return &served{entry: entry, call: call, resolved: resolved, request: request, body: body, version: version, lastID: call.ResumeAfter}, nil
 }
 
