Set engines apart for urgent streams, and prefer two homes for a prefix

Cause: long prompts and streams with a short pause target met on all engines. A prompt of 10,000 unread tokens is read in chunks of some 33 to 46 ms, and five steps make an event, so the streams beside it miss 200 ms; and prefixes were read again on engines that were picked for a shorter queue.

Change: as many engines as the urgent streams of all entries need (10 streams each, at most half) are set apart by rank; both sides borrow at a cost. Reading is weighed double, and a prefix has a second home.

--- a/internal/command/verbs/platform_entry.go
+++ b/internal/command/verbs/platform_entry.go
@@ -84,7 +84,7 @@
 func reloadOnSignal(ctx *cli.Context, hangups <-chan os.Signal, observe *telemetry.Telemetry, entry *direct.Entry) {
 	for {
 		select {
-		case <-ctx.Context.Done():
+		case <-ctx.Done():
 			return
 		case <-hangups:
 		}
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"endivepost/internal/data/agenda"
 	"endivepost/internal/data/table"
 	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/policy/setapart"
 	"endivepost/internal/wire/message"
 )
 
@@ -33,6 +34,7 @@
 	requestDue *agenda.Agenda[message.RequestID]
 	suspects   *suspects.Table
 	retries    map[string]*retrywindow.Window
+	splits     map[string]*setapart.Split
 	ready      bool
 	listRead   bool
 	draining   bool
@@ -84,6 +86,7 @@
 		requestDue: agenda.New[message.RequestID](),
 		suspects:   suspects.New(suspectBound),
 		retries:    make(map[string]*retrywindow.Window),
+		splits:     make(map[string]*setapart.Split),
 	}
 }
 
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -127,7 +127,7 @@
 	row.state = running
 	row.answered = false
 	row.upstream = upstream.Name
-	row.reading = row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, "")
+	row.reading = row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, nil)
 	dispatcher.occupy(now, row)
 	dispatcher.requestDue.Remove(row.request.ID)
 	dispatcher.requests.Put(row.request.ID, row)
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -10,6 +10,7 @@
 	"endivepost/internal/policy/enginechoice"
 	"endivepost/internal/policy/prefix"
 	"endivepost/internal/policy/rendezvous"
+	"endivepost/internal/policy/setapart"
 	"endivepost/internal/wire/message"
 )
 
@@ -53,13 +54,16 @@
 	// silentAfter is how long an upstream may send nothing at all while it has
 	// work, beside the time for reading its prompts.
 	silentAfter = 700 * time.Millisecond
-	// homeShare is the part of a prefix that an upstream is taken to keep if it
-	// is the prefix's home: other entries send it there too.
-	homeShare = 0.9
+	// mostHomes is the number of upstreams that a prefix is sent to by preference.
+	mostHomes = 2
 	// defaultCache is the size of a KV cache that the document does not state.
 	defaultCache = 200_000
 )
 
+// homeShares are the parts of a prefix that its homes are taken to keep, by their
+// place: other entries send it there too.
+var homeShares = [mostHomes]float64{0.9, 0.5}
+
 func (dispatcher *Dispatcher) upstream(name string) upstreamRow {
 	row, ok := dispatcher.upstreams.Get(name)
 	if !ok {
@@ -81,12 +85,17 @@
 	if len(fresh) == 0 {
 		return event.Upstream{}, false
 	}
-	return dispatcher.best(row, fresh), true
+	return dispatcher.best(now, row, fresh), true
 }
 
-func (dispatcher *Dispatcher) best(row requestRow, upstreams []event.Upstream) event.Upstream {
+// best returns the cheapest of the upstreams for the request. Engines that are
+// set apart for urgent streams are costlier for long prompts, and the others are
+// costlier for urgent streams, so that each borrows from the other only when its
+// own are full.
+func (dispatcher *Dispatcher) best(now time.Duration, row requestRow, upstreams []event.Upstream) event.Upstream {
 	uses := dispatcher.allUses()
-	home := dispatcher.home(row, upstreams)
+	apart := dispatcher.apart(now, row.pool, uses)
+	homes := dispatcher.homes(row, upstreams, apart)
 	candidates := make([]enginechoice.Candidate, len(upstreams))
 	start := dispatcher.settings.Random.IntN(len(upstreams))
 	rotated := slices.Concat(upstreams[start:], upstreams[:start])
@@ -97,43 +106,77 @@
 			Batch:   upstream.Slots,
 			Reading: use.Reading,
 			Urgent:  use.Urgent,
-			Unread:  row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, home),
+			Unread:  row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, homes),
+			Apart:   apart[upstream.Name],
 			Far:     upstream.Domain != dispatcher.settings.Domain,
 		}
 	}
-	return rotated[enginechoice.Choose(enginechoice.Ask{Urgent: row.urgent()}, candidates)]
+	return rotated[enginechoice.Choose(enginechoice.Ask{Urgent: row.urgent(), Split: len(apart) > 0}, candidates)]
 }
 
-// home returns the upstream that all entries prefer for the request's longest
-// shared prefix, or "" for a request without one.
-func (dispatcher *Dispatcher) home(row requestRow, upstreams []event.Upstream) string {
-	parts := row.request.Prompt.Parts
-	if len(parts) < 2 {
-		return ""
-	}
+// apart returns the engines of the pool that are set apart for urgent streams.
+// All entries rank the engines alike and hear of each other's streams, so they
+// agree without talking but for the last one or two.
+func (dispatcher *Dispatcher) apart(now time.Duration, pool string, uses map[string]message.Use) map[string]bool {
+	upstreams := dispatcher.roster.InPool(now, pool)
 	names := make([]string, len(upstreams))
+	urgent, others := 0, 0
 	for i, upstream := range upstreams {
 		names[i] = upstream.Name
+		urgent += uses[upstream.Name].Urgent
+		others += uses[upstream.Name].Running - uses[upstream.Name].Urgent
+	}
+	size := dispatcher.split(pool).Size(now, setapart.Load{Urgent: urgent, Others: others, Engines: len(names)})
+	apart := make(map[string]bool, size)
+	for _, name := range rendezvous.Rank([]byte(pool), names)[:size] {
+		apart[name] = true
+	}
+	return apart
+}
+
+func (dispatcher *Dispatcher) split(pool string) *setapart.Split {
+	found, ok := dispatcher.splits[pool]
+	if !ok {
+		found = setapart.New()
+		dispatcher.splits[pool] = found
+	}
+	return found
+}
+
+// homes returns the upstreams that all entries prefer for the request's longest
+// shared prefix, the first choice first; none for a request without one.
+func (dispatcher *Dispatcher) homes(row requestRow, upstreams []event.Upstream, apart map[string]bool) []string {
+	parts := row.request.Prompt.Parts
+	if len(parts) < 2 {
+		return nil
+	}
+	var names []string
+	for _, upstream := range upstreams {
+		if apart[upstream.Name] == row.urgent() {
+			names = append(names, upstream.Name)
+		}
 	}
 	key := binary.BigEndian.AppendUint64(nil, parts[len(parts)-2].ID)
-	return rendezvous.Top(key, names)
+	ranked := rendezvous.Rank(key, names)
+	return ranked[:min(len(ranked), mostHomes)]
 }
 
 // held returns how many tokens of the prompt the upstream need not read.
-func (dispatcher *Dispatcher) held(row requestRow, name, home string) int {
+func (dispatcher *Dispatcher) held(row requestRow, name string, homes []string) int {
 	prompt := row.request.Prompt
 	held := 0
 	if known := dispatcher.upstream(name).kept; known != nil {
 		held = known.Held(prompt)
 	}
-	if name != home {
+	place := slices.Index(homes, name)
+	if place < 0 {
 		return held
 	}
 	shared := 0
 	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
 		shared += part.Tokens
 	}
-	return max(held, int(homeShare*float64(shared)))
+	return max(held, int(homeShares[place]*float64(shared)))
 }
 
 // allUses adds what the other entries last reported to this entry's own work.
--- a/internal/policy/enginechoice/enginechoice.go
+++ b/internal/policy/enginechoice/enginechoice.go
@@ -17,6 +17,8 @@
 	Unread int
 	// Slowness is the engine's measured time against that of its peers; 1 is usual.
 	Slowness float64
+	// Apart says that the engine is set apart for urgent streams.
+	Apart bool
 	// Far says that the engine is in another failure domain.
 	Far bool
 }
@@ -25,6 +27,8 @@
 // stream with a short target between tokens.
 type Ask struct {
 	Urgent bool
+	// Split says that some engines are set apart.
+	Split bool
 }
 
 const (
@@ -36,9 +40,13 @@
 	streamCost = 2.0
 	// readingHurts weighs a millisecond of reading that delays an urgent stream.
 	readingHurts = 3.0
-	// longRead is the reading, in tokens, that delays the tokens of a running
-	// stream beyond a short target: one chunk fits between two events.
-	longRead = 2048.0
+	// readCost weighs a millisecond of reading for the request itself: it also
+	// delays all who read and stream there.
+	readCost = 2.0
+	// borrowCost is what an urgent stream risks among long prompts, in ms, and
+	// intrudeCost what a long prompt costs the urgent streams that it joins.
+	borrowCost  = 120.0
+	intrudeCost = 400.0
 	// fullCost is the wait for a place in a full batch, in ms.
 	fullCost = 400.0
 	// farCost is the time for a hop between failure domains, in ms.
@@ -66,12 +74,15 @@
 func (candidate Candidate) Cost(ask Ask) float64 {
 	reading := float64(candidate.Reading) / tokensPerMs
 	own := float64(candidate.Unread) / tokensPerMs
-	cost := reading + own + streamCost*float64(candidate.Running)
+	cost := reading + readCost*own + streamCost*float64(candidate.Running)
 	if ask.Urgent {
 		cost += readingHurts * reading
 	}
-	if float64(candidate.Unread) > longRead/2 {
-		cost += readingHurts * own * min(float64(candidate.Urgent), maxUrgent) / maxUrgent
+	if ask.Split && ask.Urgent && !candidate.Apart {
+		cost += borrowCost
+	}
+	if ask.Split && !ask.Urgent && candidate.Apart {
+		cost += intrudeCost
 	}
 	if candidate.Batch > 0 && candidate.Running >= candidate.Batch {
 		cost += fullCost * float64(candidate.Running-candidate.Batch+1) / float64(candidate.Batch)
@@ -85,10 +96,6 @@
 	return cost
 }
 
-// maxUrgent is the number of urgent streams beyond which more of them do not
-// make an engine worse for a long prompt.
-const maxUrgent = 4.0
-
 // ReadingTime returns how long an engine takes to read so many tokens.
 func ReadingTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / tokensPerMs * float64(time.Millisecond))
