Wait for the engine that keeps a prefix rather than read it again

Ruled out: too few engines for the urgent streams; they were half of the pool and full of long prompts.

--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -117,11 +117,12 @@
 
 // place sends the request to an upstream, or lets it wait for one.
 func (dispatcher *Dispatcher) place(now time.Duration, row requestRow) {
-	upstream, ok := dispatcher.choose(now, row)
+	chosen, ok := dispatcher.choose(now, row)
 	if !ok {
 		dispatcher.wait(now, row)
 		return
 	}
+	upstream := chosen.upstream
 	row.number++
 	row.sent++
 	row.state = running
@@ -136,7 +137,7 @@
 	}
 	dispatcher.emit(event.Attempt{
 		ID: row.request.ID, Number: row.number, Upstream: upstream.Name, Address: upstream.Address, Domain: upstream.Domain,
-		Tier: row.request.Tier, Until: row.until,
+		Tier: row.request.Tier, Until: row.until, View: chosen.view,
 	})
 }
 
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -72,9 +72,15 @@
 	return row
 }
 
+// choice is an upstream with the belief that spoke for it.
+type choice struct {
+	upstream event.Upstream
+	view     event.View
+}
+
 // choose returns the upstream to send the request to, if there is one. Those
 // that were tried or failed lately are taken only if there is no other.
-func (dispatcher *Dispatcher) choose(now time.Duration, row requestRow) (event.Upstream, bool) {
+func (dispatcher *Dispatcher) choose(now time.Duration, row requestRow) (choice, bool) {
 	usable := dispatcher.roster.InPool(now, row.pool)
 	fresh := slices.DeleteFunc(slices.Clone(usable), func(upstream event.Upstream) bool {
 		return slices.Contains(row.tried, upstream.Name) || now < dispatcher.upstream(upstream.Name).avoidUntil
@@ -83,7 +89,7 @@
 		fresh = slices.DeleteFunc(usable, func(upstream event.Upstream) bool { return slices.Contains(row.tried, upstream.Name) })
 	}
 	if len(fresh) == 0 {
-		return event.Upstream{}, false
+		return choice{}, false
 	}
 	return dispatcher.best(now, row, fresh), true
 }
@@ -92,7 +98,7 @@
 // set apart for urgent streams are costlier for long prompts, and the others are
 // costlier for urgent streams, so that each borrows from the other only when its
 // own are full.
-func (dispatcher *Dispatcher) best(now time.Duration, row requestRow, upstreams []event.Upstream) event.Upstream {
+func (dispatcher *Dispatcher) best(now time.Duration, row requestRow, upstreams []event.Upstream) choice {
 	uses := dispatcher.allUses()
 	apart := dispatcher.apart(now, row.pool, uses)
 	homes := dispatcher.homes(row, upstreams, apart)
@@ -111,7 +117,11 @@
 			Far:     upstream.Domain != dispatcher.settings.Domain,
 		}
 	}
-	return rotated[enginechoice.Choose(enginechoice.Ask{Urgent: row.urgent(), Split: len(apart) > 0}, candidates)]
+	best := enginechoice.Choose(enginechoice.Ask{Urgent: row.urgent(), Split: len(apart) > 0}, candidates)
+	chosen := candidates[best]
+	return choice{upstream: rotated[best], view: event.View{
+		Running: chosen.Running, Reading: chosen.Reading, Unread: chosen.Unread, Apart: chosen.Apart, Entries: len(dispatcher.mesh.Beats()),
+	}}
 }
 
 // apart returns the engines of the pool that are set apart for urgent streams.
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -206,6 +206,19 @@
 	Tier     int
 	// Until is the uptime at which the request's time is up.
 	Until time.Duration
+	// View is what decided for the upstream, for the log.
+	View View
+}
+
+// View is what an entry believed of an upstream when it chose it, by all
+// entries' last reports, in requests and tokens.
+type View struct {
+	Running int
+	Reading int
+	Unread  int
+	Apart   bool
+	// Entries is the number of other entries whose reports are in it.
+	Entries int
 }
 
 // Believed reports a change of what the core believes about its surroundings,
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -248,6 +248,7 @@
 func (served *served) logAttempt(order event.Attempt, ended event.AttemptEnded) {
 	served.entry.log("attempt-ended").WithFields(logrus.Fields{
 		"request": served.call.ID, "attempt": order.Number, "upstream": order.Upstream, "result": ended.Result.String(),
-		"status": ended.Status, "after-ms": time.Since(served.arrived).Milliseconds(),
+		"status": ended.Status, "after-ms": time.Since(served.arrived).Milliseconds(), "running": order.View.Running,
+		"reading": order.View.Reading, "unread": order.View.Unread, "apart": order.View.Apart, "entries-heard": order.View.Entries,
 	}).Info()
 }
--- a/internal/policy/enginechoice/enginechoice.go
+++ b/internal/policy/enginechoice/enginechoice.go
@@ -42,11 +42,11 @@
 	readingHurts = 3.0
 	// readCost weighs a millisecond of reading for the request itself: it also
 	// delays all who read and stream there.
-	readCost = 2.0
+	readCost = 5.0
 	// borrowCost is what an urgent stream risks among long prompts, in ms, and
 	// intrudeCost what a long prompt costs the urgent streams that it joins.
-	borrowCost  = 120.0
-	intrudeCost = 400.0
+	borrowCost  = 150.0
+	intrudeCost = 1500.0
 	// fullCost is the wait for a place in a full batch, in ms.
 	fullCost = 400.0
 	// farCost is the time for a hop between failure domains, in ms.
