Let long prompts wait at the entry, those that are still in time first

Change: a request whose target leaves time is held while an engine has 24,000 tokens ahead and this entry has something read there; the tiered queue gives room to what can still meet its target before what cannot, within a tier. Requests with short targets are not held: engines read them first by their tier.

--- /dev/null
+++ b/internal/core/dispatch/admission.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"time"
+
+	"endivepost/internal/policy/enginechoice"
+	"endivepost/internal/policy/order"
+	"endivepost/internal/wire/message"
+)
+
+const (
+	// mostReading is the reading, in tokens, that all entries together give an
+	// engine ahead of time: what waits inside an engine is out of reach of order.
+	mostReading = 24_000
+	// shortestAnswer is the least time that an answer takes; a request that has
+	// less left is given up.
+	shortestAnswer = 500 * time.Millisecond
+	// mostSkipped bounds the waiting requests that are looked at in one step.
+	mostSkipped = 24
+)
+
+// hasRoom says whether the engine may be given the request now. Each entry may
+// have one request read at each engine, whatever the others have there.
+func (dispatcher *Dispatcher) hasRoom(row requestRow, chosen choice) bool {
+	pool, ok := dispatcher.config.Document().Pool(row.pool)
+	if !ok || pool.Engine.Batch == 0 {
+		return true
+	}
+	if row.impatient() || dispatcher.upstream(chosen.upstream.Name).use.Reading == 0 {
+		return true
+	}
+	return chosen.view.Reading+chosen.view.Unread <= mostReading && chosen.view.Running < pool.Engine.Batch
+}
+
+// queue lets a request wait for room.
+func (dispatcher *Dispatcher) queue(now time.Duration, row requestRow, chosen choice) {
+	if now+shortestAnswer >= row.until {
+		dispatcher.giveUp(row, message.Overload)
+		return
+	}
+	row.state = waiting
+	row.queued = true
+	dispatcher.requests.Put(row.request.ID, row)
+	dispatcher.requestDue.Set(row.request.ID, row.until-shortestAnswer)
+	dispatcher.settings.Waiting.Add(now, order.Item[message.RequestID]{
+		Key: row.request.ID, Tier: row.request.Tier, Class: row.request.Class.Name, Account: row.request.Account,
+		Work: float64(chosen.view.Unread), LateAt: row.lateAt(),
+	})
+}
+
+// impatient says whether the target for the first token is shorter than what
+// engines may have ahead. To hold such a request would not help it: the engine
+// reads it before what is less urgent.
+func (row requestRow) impatient() bool {
+	first := time.Duration(row.request.Class.FirstToken)
+	return first <= enginechoice.ReadingTime(mostReading+row.request.Prompt.Tokens)
+}
+
+// lateAt returns when the request must be sent to meet the target for its first
+// token with what an engine may have to read before it.
+func (row requestRow) lateAt() time.Duration {
+	first := time.Duration(row.request.Class.FirstToken)
+	if first == 0 {
+		return 0
+	}
+	return row.arrived + first - enginechoice.ReadingTime(mostReading+row.request.Prompt.Tokens)
+}
+
+// admit sends requests that wait, in their order, as far as engines have room.
+func (dispatcher *Dispatcher) admit(now time.Duration) {
+	if !dispatcher.freed {
+		return
+	}
+	dispatcher.freed = false
+	for {
+		var chosen choice
+		skipped := 0
+		item, ok := dispatcher.settings.Waiting.Pick(now, func(item order.Item[message.RequestID]) bool {
+			row, _ := dispatcher.requests.Get(item.Key)
+			found := false
+			chosen, found = dispatcher.choose(now, row)
+			skipped++
+			return skipped > mostSkipped || !found || !dispatcher.hasRoom(row, chosen)
+		})
+		if !ok {
+			return
+		}
+		row, _ := dispatcher.requests.Get(item.Key)
+		dispatcher.send(now, row, chosen)
+	}
+}
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"endivepost/internal/core/suspects"
 	"endivepost/internal/data/agenda"
 	"endivepost/internal/data/table"
+	"endivepost/internal/policy/order"
 	"endivepost/internal/policy/retrywindow"
 	"endivepost/internal/policy/setapart"
 	"endivepost/internal/wire/message"
@@ -40,6 +41,8 @@
 	draining   bool
 	drained    bool
 	moved      bool
+	freed      bool
+	total      map[string]message.Use
 	lastStep   time.Duration
 	beatDue    time.Duration
 	listenDue  time.Duration
@@ -53,6 +56,8 @@
 	Mesh    mesh.Settings
 	Retries retrywindow.Settings
 	Random  *rand.Rand
+	// Waiting orders the requests that wait for room at an engine.
+	Waiting order.Policy[message.RequestID]
 	// BeatEvery is the time between two beats to other entries.
 	BeatEvery time.Duration
 	// WaitForUpstream is how long a request waits for an upstream to come up.
@@ -99,6 +104,7 @@
 		dispatcher.take(now, input)
 	}
 	dispatcher.placeWaiting(now)
+	dispatcher.admit(now)
 	dispatcher.expireWaiting(now)
 	dispatcher.moveFromSilent(now)
 	dispatcher.emit(dispatcher.mesh.Dial(now)...)
@@ -187,6 +193,7 @@
 	switch body := received.Message.(type) {
 	case message.EntryBeat:
 		if dispatcher.mesh.Heard(now, received.Peer, received.Link, body) {
+			dispatcher.usesChanged()
 			dispatcher.takeBeat(now, received, body)
 		}
 	case message.ConfigPull:
@@ -217,6 +224,7 @@
 		return
 	}
 	dispatcher.moved = true
+	dispatcher.freed = true
 	upstream, _ := dispatcher.roster.Find(name)
 	state := "usable"
 	if !dispatcher.roster.Usable(now, name) {
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -27,6 +27,7 @@
 	request event.Request
 	pool    string
 	state   requestState
+	arrived time.Duration
 	// until is when its time is up, waitUntil when it no longer waits.
 	until     time.Duration
 	waitUntil time.Duration
@@ -39,6 +40,8 @@
 	answered   bool
 	delivered  bool
 	mayHaveRun bool
+	// queued says that it waits for room and not for an upstream.
+	queued bool
 }
 
 // urgentTarget is the longest target between tokens of a stream that the
@@ -71,7 +74,7 @@
 }
 
 func (dispatcher *Dispatcher) submit(now time.Duration, request event.Request) {
-	row := requestRow{request: request, until: now + request.Budget}
+	row := requestRow{request: request, arrived: now, until: now + request.Budget}
 	if request.Budget == 0 {
 		row.until = now + longestRequest
 	}
@@ -122,10 +125,20 @@
 		dispatcher.wait(now, row)
 		return
 	}
+	if !dispatcher.hasRoom(row, chosen) {
+		dispatcher.queue(now, row, chosen)
+		return
+	}
+	dispatcher.send(now, row, chosen)
+}
+
+// send gives the request to the upstream.
+func (dispatcher *Dispatcher) send(now time.Duration, row requestRow, chosen choice) {
 	upstream := chosen.upstream
 	row.number++
 	row.sent++
 	row.state = running
+	row.queued = false
 	row.answered = false
 	row.upstream = upstream.Name
 	row.reading = row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, nil)
@@ -169,7 +182,7 @@
 	}
 	dispatcher.moved = false
 	for _, id := range dispatcher.requests.Keys() {
-		if row, ok := dispatcher.requests.Get(id); ok && row.state == waiting {
+		if row, ok := dispatcher.requests.Get(id); ok && row.state == waiting && !row.queued {
 			dispatcher.place(now, row)
 		}
 	}
@@ -177,7 +190,12 @@
 
 func (dispatcher *Dispatcher) expireWaiting(now time.Duration) {
 	for _, id := range dispatcher.requestDue.PopDue(now) {
-		if row, ok := dispatcher.requests.Get(id); ok && row.state == waiting {
+		row, ok := dispatcher.requests.Get(id)
+		switch {
+		case !ok || row.state != waiting:
+		case row.queued:
+			dispatcher.giveUp(row, message.Overload)
+		default:
 			dispatcher.giveUp(row, message.NoUpstream)
 		}
 	}
@@ -193,6 +211,7 @@
 	held := dispatcher.upstream(row.upstream).WithSuccess(now)
 	held.use.Reading -= row.reading
 	dispatcher.upstreams.Put(row.upstream, held)
+	dispatcher.usesChanged()
 }
 
 func (dispatcher *Dispatcher) progressed(now time.Duration, progressed event.AttemptProgressed) {
@@ -311,6 +330,7 @@
 func (dispatcher *Dispatcher) finish(row requestRow, outcome message.Outcome, reason message.Reason) {
 	dispatcher.requests.Delete(row.request.ID)
 	dispatcher.requestDue.Remove(row.request.ID)
+	dispatcher.settings.Waiting.Remove(row.request.ID)
 	finish := event.Finish{ID: row.request.ID, Outcome: outcome, Reason: reason, Upstream: row.upstream, Attempts: row.sent}
 	if outcome == message.NotRun {
 		finish.RetryAfter = dispatcher.returnAfter()
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -191,6 +191,9 @@
 
 // allUses adds what the other entries last reported to this entry's own work.
 func (dispatcher *Dispatcher) allUses() map[string]message.Use {
+	if dispatcher.total != nil {
+		return dispatcher.total
+	}
 	total := make(map[string]message.Use)
 	for _, name := range dispatcher.upstreams.Keys() {
 		row, _ := dispatcher.upstreams.Get(name)
@@ -205,9 +208,17 @@
 			total[use.Upstream] = sum
 		}
 	}
+	dispatcher.total = total
 	return total
 }
 
+// usesChanged drops the sum of all uses, and has the requests that wait for room
+// looked at again.
+func (dispatcher *Dispatcher) usesChanged() {
+	dispatcher.total = nil
+	dispatcher.freed = true
+}
+
 // uses returns this entry's own work in progress, in a fixed order.
 func (dispatcher *Dispatcher) uses() []message.Use {
 	var uses []message.Use
@@ -235,6 +246,7 @@
 		held = held.WithKept(dispatcher.cacheTokens(row.pool), row.request.Prompt)
 	}
 	dispatcher.upstreams.Put(row.upstream, held)
+	dispatcher.total = nil
 }
 
 // WithKept returns the row after the prompt was sent there.
@@ -264,6 +276,7 @@
 		held.use.Urgent--
 	}
 	dispatcher.upstreams.Put(row.upstream, held)
+	dispatcher.usesChanged()
 }
 
 // silent says whether the upstream has sent nothing for longer than its work
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -23,6 +23,7 @@
 	"endivepost/internal/node/loop"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/policy/tiered"
 	"endivepost/internal/wire/link"
 	"endivepost/internal/wire/message"
 )
@@ -81,6 +82,10 @@
 	upstreamIdle    = 4 * time.Second
 	mostIdle        = 64
 	pruneEvery      = time.Second
+	// floorWait is the wait after which a class has a right to some of the room
+	// that comes free, floorEvery the part of it as a divisor.
+	floorWait  = time.Second
+	floorEvery = 6
 	// balancerLinger is how long new connections may still come after this
 	// process says that it is not ready: two missed questions a second apart.
 	balancerLinger = 2800 * time.Millisecond
@@ -106,6 +111,7 @@
 		},
 		Retries:         settings.Retries,
 		Random:          random,
+		Waiting:         tiered.New[message.RequestID](tiered.Floor{Wait: floorWait, Every: floorEvery}),
 		BeatEvery:       beatEvery,
 		WaitForUpstream: waitForUpstream,
 		DrainTime:       settings.Grace - exitMargin,
--- a/internal/policy/tiered/tiered.go
+++ b/internal/policy/tiered/tiered.go
@@ -202,22 +202,37 @@
 
 func (queue *Queue[K]) pickFrom(lanes []*lane[K], now time.Duration, skip func(order.Item[K]) bool) (order.Item[K], bool) {
 	for _, lane := range lanes {
-		for _, account := range lane.byService() {
-			for _, key := range account.waiting {
-				item := queue.items[key].item
-				if skip != nil && skip(item) {
-					continue
-				}
-				queue.Remove(key)
-				lane.serve(now, account, item.Work)
-				return item, true
+		for _, waiting := range queue.inOrder(now, lane) {
+			if skip != nil && skip(waiting.item) {
+				continue
 			}
+			queue.Remove(waiting.item.Key)
+			lane.serve(now, waiting.queue, waiting.item.Work)
+			return waiting.item, true
 		}
 	}
 	var none order.Item[K]
 	return none, false
 }
 
+// inOrder returns the items of a lane in the order in which they run. Those that
+// can still meet their target go first: in a queue that is longer than the target
+// all would be late otherwise.
+func (queue *Queue[K]) inOrder(now time.Duration, lane *lane[K]) []*entry[K] {
+	var inTime, late []*entry[K]
+	for _, account := range lane.byService() {
+		for _, key := range account.waiting {
+			found := queue.items[key]
+			if found.item.Late(now) {
+				late = append(late, found)
+				continue
+			}
+			inTime = append(inTime, found)
+		}
+	}
+	return append(inTime, late...)
+}
+
 func (lane *lane[K]) serve(now time.Duration, account *accountQueue[K], work float64) {
 	lane.since = now
 	lane.served += work
