Start from another entry's list of upstreams while the store is silent

Change: an entry without a list asks the peers that it hears from; rows carry their revisions, so that what is published later overrides them.

Ruled out: serving from seeds alone; they name entries, not upstreams.

Test: TestBootWithoutStore, which waited in vain before the change.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -204,6 +204,24 @@
 		if dispatcher.mesh.Touch(now, received.Peer, received.Link) {
 			dispatcher.putInForce(now, dispatcher.config.Take(body))
 		}
+	case message.ListPull:
+		if dispatcher.listRead {
+			dispatcher.emit(event.Send{Peer: received.Peer, Link: received.Link, Message: message.UpstreamList{Upstreams: dispatcher.roster.Rows()}})
+		}
+	case message.UpstreamList:
+		dispatcher.takeList(now, body)
+	}
+}
+
+// takeList takes the upstreams that another entry knows of, while the published
+// list cannot be read. What is published later overrides it row by row.
+func (dispatcher *Dispatcher) takeList(now time.Duration, list message.UpstreamList) {
+	if dispatcher.listRead || len(list.Upstreams) == 0 {
+		return
+	}
+	dispatcher.listRead = true
+	for _, upstream := range list.Upstreams {
+		dispatcher.noteUpstream(now, upstream.Name, dispatcher.roster.List(now, upstream))
 	}
 }
 
@@ -215,6 +233,9 @@
 		dispatcher.noteUpstream(now, departure.Upstream, dispatcher.roster.Depart(now, departure))
 	}
 	dispatcher.emit(dispatcher.config.Heard(now, received.Peer, received.Link, beat.ConfigVersion)...)
+	if !dispatcher.listRead {
+		dispatcher.emit(event.Send{Peer: received.Peer, Link: received.Link, Message: message.ListPull{}})
+	}
 }
 
 // noteUpstream reports a change of an upstream's row for the log, and looks at
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -96,15 +96,7 @@
 
 // Upstream is one upstream of the published list, for entries that reach
 // upstreams without sidecars. Revision rises with each change of its row.
-type Upstream struct {
-	Name     string
-	Pool     string
-	Address  string
-	Domain   string
-	Slots    int
-	Leaving  bool
-	Revision uint64
-}
+type Upstream = message.Upstream
 
 // UpstreamListed is a row of the published list as it was written.
 type UpstreamListed struct{ Upstream Upstream }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -184,3 +184,16 @@
 	}
 	return departures
 }
+
+// Rows returns all rows, those that are leaving as such, for a peer that has none.
+func (roster *Roster) Rows() []event.Upstream {
+	var rows []event.Upstream
+	for _, name := range roster.rows.Keys() {
+		held, _ := roster.rows.Get(name)
+		upstream := held.upstream
+		upstream.Leaving = held.leaving
+		upstream.Revision = held.revision
+		rows = append(rows, upstream)
+	}
+	return rows
+}
--- a/internal/policy/enginechoice/enginechoice.go
+++ b/internal/policy/enginechoice/enginechoice.go
@@ -50,7 +50,7 @@
 	// fullCost is the wait for a place in a full batch, in ms.
 	fullCost = 400.0
 	// farCost is the time for a hop between failure domains, in ms.
-	farCost = 1.0
+	farCost = 3.0
 )
 
 // Choose returns the index of the cheapest candidate, the first of equals, and
--- a/internal/wire/message/message.go
+++ b/internal/wire/message/message.go
@@ -267,6 +267,25 @@
 	Revision uint64 `cbor:"2,keyasint"`
 }
 
+// ListPull asks an entry for the upstreams that it knows of.
+type ListPull struct{}
+
+// UpstreamList is what an entry knows of the published list of upstreams.
+type UpstreamList struct {
+	Upstreams []Upstream `cbor:"1,keyasint,omitempty"`
+}
+
+// Upstream is one row of the published list, as it was at its revision.
+type Upstream struct {
+	Name     string `cbor:"1,keyasint"`
+	Pool     string `cbor:"2,keyasint"`
+	Address  string `cbor:"3,keyasint"`
+	Domain   string `cbor:"4,keyasint,omitempty"`
+	Slots    int    `cbor:"5,keyasint,omitempty"`
+	Leaving  bool   `cbor:"6,keyasint,omitempty"`
+	Revision uint64 `cbor:"7,keyasint"`
+}
+
 const (
 	kindHeartbeat uint8 = iota + 1
 	kindReserve
@@ -280,20 +299,24 @@
 	kindConfigPull
 	kindConfig
 	kindEntryBeat
+	kindListPull
+	kindUpstreamList
 )
 
-func (Heartbeat) kind() uint8  { return kindHeartbeat }
-func (Reserve) kind() uint8    { return kindReserve }
-func (Claim) kind() uint8      { return kindClaim }
-func (Grant) kind() uint8      { return kindGrant }
-func (Withdraw) kind() uint8   { return kindWithdraw }
-func (Refused) kind() uint8    { return kindRefused }
-func (Chunk) kind() uint8      { return kindChunk }
-func (End) kind() uint8        { return kindEnd }
-func (Attach) kind() uint8     { return kindAttach }
-func (ConfigPull) kind() uint8 { return kindConfigPull }
-func (Config) kind() uint8     { return kindConfig }
-func (EntryBeat) kind() uint8  { return kindEntryBeat }
+func (Heartbeat) kind() uint8    { return kindHeartbeat }
+func (Reserve) kind() uint8      { return kindReserve }
+func (Claim) kind() uint8        { return kindClaim }
+func (Grant) kind() uint8        { return kindGrant }
+func (Withdraw) kind() uint8     { return kindWithdraw }
+func (Refused) kind() uint8      { return kindRefused }
+func (Chunk) kind() uint8        { return kindChunk }
+func (End) kind() uint8          { return kindEnd }
+func (Attach) kind() uint8       { return kindAttach }
+func (ConfigPull) kind() uint8   { return kindConfigPull }
+func (Config) kind() uint8       { return kindConfig }
+func (EntryBeat) kind() uint8    { return kindEntryBeat }
+func (ListPull) kind() uint8     { return kindListPull }
+func (UpstreamList) kind() uint8 { return kindUpstreamList }
 
 type envelope struct {
 	_    struct{} `cbor:",toarray"`
@@ -349,18 +372,20 @@
 }
 
 var decoders = map[uint8]func([]byte) (Message, error){
-	kindHeartbeat:  decodeAs[Heartbeat],
-	kindReserve:    decodeAs[Reserve],
-	kindClaim:      decodeAs[Claim],
-	kindGrant:      decodeAs[Grant],
-	kindWithdraw:   decodeAs[Withdraw],
-	kindRefused:    decodeAs[Refused],
-	kindChunk:      decodeAs[Chunk],
-	kindEnd:        decodeAs[End],
-	kindAttach:     decodeAs[Attach],
-	kindConfigPull: decodeAs[ConfigPull],
-	kindConfig:     decodeAs[Config],
-	kindEntryBeat:  decodeAs[EntryBeat],
+	kindHeartbeat:    decodeAs[Heartbeat],
+	kindReserve:      decodeAs[Reserve],
+	kindClaim:        decodeAs[Claim],
+	kindGrant:        decodeAs[Grant],
+	kindWithdraw:     decodeAs[Withdraw],
+	kindRefused:      decodeAs[Refused],
+	kindChunk:        decodeAs[Chunk],
+	kindEnd:          decodeAs[End],
+	kindAttach:       decodeAs[Attach],
+	kindConfigPull:   decodeAs[ConfigPull],
+	kindConfig:       decodeAs[Config],
+	kindEntryBeat:    decodeAs[EntryBeat],
+	kindListPull:     decodeAs[ListPull],
+	kindUpstreamList: decodeAs[UpstreamList],
 }
 
 func decodeAs[M Message](body []byte) (Message, error) {
