--- a/internal/policy/setapart/setapart.go
+++ b/internal/policy/setapart/setapart.go
@@ -54,5 +54,5 @@
 	if load.Urgent == 0 {
 		return 0
 	}
-	return 1 + load.Urgent/streamsPerEngine
+	return 1 + (load.Urgent+streamsPerEngine/2)/streamsPerEngine
 }
