Tell callers who are turned away when there will be room; table of outcomes

Cause: after an overload callers were told to come back after 0.2 to 0.4 s whatever waited, and requests were held until half a second before their end, when no whole answer fitted any more.

Change: the time to come back is what waits over the rate at which it is let through; a request is given up when the usual time of an answer of its class no longer fits.

Tests: the dispatcher's outcomes as a table, requests that crash upstreams, silence, the bound on retries, waiting; they passed at once.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -15,6 +15,12 @@
 	// shortestAnswer is the least time that an answer takes; a request that has
 	// less left is given up.
 	shortestAnswer = 500 * time.Millisecond
+	// answerSmoothing is the number of answers over which the usual time is smoothed.
+	answerSmoothing = 8
+	// drainSpan is the time over which the rate of letting through is measured.
+	drainSpan = time.Second
+	// longestReturn bounds what a caller is told: an overload seldom lasts longer.
+	longestReturn = 10 * time.Second
 	// mostSkipped bounds the waiting requests that are looked at in one step.
 	mostSkipped = 24
 )
@@ -34,14 +40,16 @@
 
 // queue lets a request wait for room.
 func (dispatcher *Dispatcher) queue(now time.Duration, row requestRow, chosen choice) {
-	if now+shortestAnswer >= row.until {
-		dispatcher.giveUp(row, message.Overload)
+	giveUpAt := row.until - dispatcher.answerTime(row)
+	if now >= giveUpAt {
+		dispatcher.giveUp(now, row, message.Overload)
 		return
 	}
 	row.state = waiting
 	row.queued = true
 	dispatcher.requests.Put(row.request.ID, row)
-	dispatcher.requestDue.Set(row.request.ID, row.until-shortestAnswer)
+	dispatcher.requestDue.Set(row.request.ID, giveUpAt)
+	dispatcher.waitingWork += float64(row.request.Prompt.Tokens)
 	dispatcher.settings.Waiting.Add(now, order.Item[message.RequestID]{
 		Key: row.request.ID, Tier: row.request.Tier, Class: row.request.Class.Name, Account: row.request.Account,
 		Work: float64(chosen.view.Unread), LateAt: row.lateAt(),
@@ -86,6 +94,42 @@
 			return
 		}
 		row, _ := dispatcher.requests.Get(item.Key)
+		dispatcher.drain.Passed(now, float64(row.request.Prompt.Tokens))
 		dispatcher.send(now, row, chosen)
 	}
 }
+
+// leaveQueue records that a request no longer waits for room.
+func (dispatcher *Dispatcher) leaveQueue(row requestRow) {
+	if row.queued {
+		dispatcher.waitingWork -= float64(row.request.Prompt.Tokens)
+	}
+	dispatcher.settings.Waiting.Remove(row.request.ID)
+}
+
+// answerTime returns how long a whole answer to the class takes once it is sent,
+// as measured; with less time left a request is not worth sending.
+func (dispatcher *Dispatcher) answerTime(row requestRow) time.Duration {
+	return max(dispatcher.answerTimes[row.request.Class.Name], shortestAnswer)
+}
+
+// measure takes the time of a whole answer into the class's usual time.
+func (dispatcher *Dispatcher) measure(now time.Duration, row requestRow) {
+	usual := dispatcher.answerTimes[row.request.Class.Name]
+	dispatcher.answerTimes[row.request.Class.Name] = usual + (now-row.sentAt-usual)/answerSmoothing
+}
+
+// returnAfter tells a caller whose request was not run when to come back: at
+// another entry at once if this one drains; after an overload when what waits
+// now will have been let through.
+func (dispatcher *Dispatcher) returnAfter(now time.Duration, reason message.Reason) time.Duration {
+	if dispatcher.draining {
+		return returnWhenDraining
+	}
+	soon := shortestReturn + time.Duration(dispatcher.settings.Random.Int64N(int64(shortestReturn)))
+	if reason != message.Overload {
+		return soon
+	}
+	wait, _ := dispatcher.drain.Wait(now, dispatcher.waitingWork)
+	return min(max(wait, soon), longestReturn)
+}
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"endivepost/internal/core/suspects"
 	"endivepost/internal/data/agenda"
 	"endivepost/internal/data/table"
+	"endivepost/internal/policy/drainrate"
 	"endivepost/internal/policy/order"
 	"endivepost/internal/policy/retrywindow"
 	"endivepost/internal/policy/setapart"
@@ -43,10 +44,14 @@
 	moved      bool
 	freed      bool
 	total      map[string]message.Use
-	lastStep   time.Duration
-	beatDue    time.Duration
-	listenDue  time.Duration
-	outputs    []event.Output
+	// waitingWork is the tokens of the prompts that wait for room.
+	waitingWork float64
+	drain       *drainrate.Rate
+	answerTimes map[string]time.Duration
+	lastStep    time.Duration
+	beatDue     time.Duration
+	listenDue   time.Duration
+	outputs     []event.Output
 }
 
 // Settings of a Dispatcher. All durations are measured on the entry's own clock.
@@ -82,16 +87,18 @@
 // New returns a dispatcher without configuration and upstreams.
 func New(settings Settings) *Dispatcher {
 	return &Dispatcher{
-		settings:   settings,
-		config:     spread.New(),
-		roster:     roster.New(),
-		mesh:       mesh.New(settings.Mesh),
-		upstreams:  table.New[string, upstreamRow](),
-		requests:   table.New[message.RequestID, requestRow](),
-		requestDue: agenda.New[message.RequestID](),
-		suspects:   suspects.New(suspectBound),
-		retries:    make(map[string]*retrywindow.Window),
-		splits:     make(map[string]*setapart.Split),
+		settings:    settings,
+		config:      spread.New(),
+		roster:      roster.New(),
+		mesh:        mesh.New(settings.Mesh),
+		upstreams:   table.New[string, upstreamRow](),
+		requests:    table.New[message.RequestID, requestRow](),
+		requestDue:  agenda.New[message.RequestID](),
+		suspects:    suspects.New(suspectBound),
+		retries:     make(map[string]*retrywindow.Window),
+		splits:      make(map[string]*setapart.Split),
+		drain:       drainrate.New(drainSpan),
+		answerTimes: make(map[string]time.Duration),
 	}
 }
 
--- /dev/null
+++ b/internal/core/dispatch/dispatch_test.go
@@ -0,0 +1,241 @@
+package dispatch_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"endivepost/internal/config/document"
+	"endivepost/internal/core/dispatch"
+	"endivepost/internal/core/event"
+	"endivepost/internal/core/mesh"
+	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/policy/tiered"
+	"endivepost/internal/wire/message"
+)
+
+// bench is a dispatcher with a pool of upstreams and a clock.
+type bench struct {
+	t          *testing.T
+	dispatcher *dispatch.Dispatcher
+	now        time.Duration
+	sequence   uint64
+}
+
+var (
+	readClass = document.Class{
+		Name: "look", Tier: 1, WholeAnswer: document.Duration(time.Second), TimeLimit: document.Duration(5 * time.Second),
+		MostAttempts: 3, Split: []document.Share{{Pool: "pool", Weight: 1}},
+	}
+	holdClass = document.Class{
+		Name: "hold", Tier: 1, WholeAnswer: document.Duration(time.Second), TimeLimit: document.Duration(5 * time.Second),
+		MostAttempts: 3, NonIdempotent: true, Split: []document.Share{{Pool: "pool", Weight: 1}},
+	}
+)
+
+func newBench(t *testing.T, upstreams int, retries retrywindow.Settings) *bench {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 1))
+	made := &bench{t: t, dispatcher: dispatch.New(dispatch.Settings{
+		Domain: "a", Random: random, Waiting: tiered.New[message.RequestID](tiered.Floor{}), BeatEvery: 200 * time.Millisecond,
+		WaitForUpstream: 400 * time.Millisecond, DrainTime: time.Minute, Retries: retries,
+		Mesh: mesh.Settings{Self: "self", Fanout: 4, SilenceLimit: time.Hour, RedialAfter: time.Second, Random: random},
+	})}
+	raw, err := json.Marshal(document.Document{
+		Version: 1, Listed: true, Classes: []document.Class{readClass, holdClass}, Pools: []document.Pool{{Name: "pool"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listed []event.Upstream
+	for i := range upstreams {
+		name := fmt.Sprintf("u-%d", i)
+		listed = append(listed, event.Upstream{Name: name, Pool: "pool", Address: name, Domain: "a", Revision: 1})
+	}
+	made.step(event.DocumentRead{Raw: raw}, event.UpstreamsRead{Upstreams: listed, Revision: 1})
+	return made
+}
+
+var manyRetries = retrywindow.Settings{Ratio: 1, Slack: 1000, Span: 10 * time.Second}
+
+func (bench *bench) step(inputs ...event.Input) []event.Output {
+	return bench.dispatcher.Step(bench.now, inputs)
+}
+
+// submit sends a request and returns the outputs.
+func (bench *bench) submit(class document.Class, fingerprint uint64) []event.Output {
+	bench.sequence++
+	return bench.step(event.Submitted{Request: event.Request{
+		ID: message.NewRequestID(1, bench.sequence), Class: class, Tier: 1, Fingerprint: fingerprint, Budget: 2 * time.Second,
+	}})
+}
+
+// end ends the attempt and returns the outputs.
+func (bench *bench) end(attempt event.Attempt, result event.AttemptResult) []event.Output {
+	return bench.step(event.AttemptEnded{ID: attempt.ID, Number: attempt.Number, Result: result})
+}
+
+// only returns the one output of the type.
+func only[O event.Output](t *testing.T, outputs []event.Output) O {
+	t.Helper()
+	var found []O
+	for _, output := range outputs {
+		if typed, ok := output.(O); ok {
+			found = append(found, typed)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d outputs of type %T among %+v", len(found), *new(O), outputs)
+	}
+	return found[0]
+}
+
+// TestOutcomes is the table of what attempts come to. Results are those of the
+// attempts in order; the request ends after the last.
+func TestOutcomes(t *testing.T) {
+	const whole, unreached, declined, mistaken, erred = event.Whole, event.Unreached, event.Declined, event.Mistaken, event.Erred
+	const broken, expired, withheld = event.Broken, event.Expired, event.Withheld
+	cases := []struct {
+		class    document.Class
+		results  []event.AttemptResult
+		outcome  message.Outcome
+		attempts int
+	}{
+		{holdClass, []event.AttemptResult{whole}, message.Complete, 1},
+		{holdClass, []event.AttemptResult{unreached, whole}, message.Complete, 1},
+		{holdClass, []event.AttemptResult{declined, mistaken, whole}, message.Complete, 3},
+		{holdClass, []event.AttemptResult{declined, declined, declined}, message.NotRun, 3},
+		{holdClass, []event.AttemptResult{declined, broken}, message.Unknown, 2},
+		{holdClass, []event.AttemptResult{erred}, message.Failed, 1},
+		{holdClass, []event.AttemptResult{expired}, message.Unknown, 1},
+		{holdClass, []event.AttemptResult{withheld}, message.NotRun, 0},
+		{readClass, []event.AttemptResult{broken, erred, whole}, message.Complete, 3},
+		{readClass, []event.AttemptResult{broken, declined, declined}, message.Unknown, 3},
+		{readClass, []event.AttemptResult{erred, erred, erred}, message.Failed, 3},
+		{readClass, []event.AttemptResult{unreached, unreached, unreached, unreached}, message.NotRun, 0},
+	}
+	for _, row := range cases {
+		bench := newBench(t, 4, manyRetries)
+		outputs := bench.submit(row.class, 7)
+		for _, result := range row.results {
+			outputs = bench.end(only[event.Attempt](t, outputs), result)
+		}
+		finish := only[event.Finish](t, outputs)
+		if finish.Outcome != row.outcome || finish.Attempts != row.attempts {
+			t.Errorf("%s %v: %v after %d attempts", row.class.Name, row.results, finish.Outcome, finish.Attempts)
+		}
+		if (finish.RetryAfter > 0) != (row.outcome == message.NotRun) {
+			t.Errorf("%s %v: come back after %v", row.class.Name, row.results, finish.RetryAfter)
+		}
+	}
+}
+
+// TestRequestThatCrashesUpstreams: a request that breaks each upstream that runs
+// it reaches three at most, however often it is sent, and others are served.
+func TestRequestThatCrashesUpstreams(t *testing.T) {
+	bench := newBench(t, 8, manyRetries)
+	crashes := 0
+	for range 10 {
+		bench.now += time.Second
+		outputs := bench.submit(readClass, 666)
+		for {
+			finished := false
+			for _, output := range outputs {
+				_, last := output.(event.Finish)
+				finished = finished || last
+			}
+			if finished {
+				break
+			}
+			crashes++
+			outputs = bench.end(only[event.Attempt](t, outputs), event.Broken)
+		}
+	}
+	if crashes > 3 {
+		t.Errorf("%d upstreams were crashed", crashes)
+	}
+	innocent := only[event.Attempt](t, bench.submit(readClass, 1))
+	if finish := only[event.Finish](t, bench.end(innocent, event.Whole)); finish.Outcome != message.Complete {
+		t.Errorf("another request ended as %v", finish.Outcome)
+	}
+}
+
+// TestSilentUpstream: repeatable work leaves an upstream that sends nothing, what
+// must not be repeated stays, and new work goes elsewhere.
+func TestSilentUpstream(t *testing.T) {
+	bench := newBench(t, 2, manyRetries)
+	read := only[event.Attempt](t, bench.submit(readClass, 1))
+	for bench.now < 600*time.Millisecond {
+		bench.now += 50 * time.Millisecond
+		bench.step()
+	}
+	hold := only[event.Attempt](t, bench.submit(holdClass, 2))
+	if hold.Upstream == read.Upstream {
+		t.Fatal("both went to one upstream")
+	}
+	bench.now += 200 * time.Millisecond
+	stopped := only[event.Stop](t, bench.step())
+	if stopped.ID != read.ID {
+		t.Fatal("the wrong request was stopped")
+	}
+	if again := only[event.Attempt](t, bench.end(read, event.Stopped)); again.Upstream == read.Upstream {
+		t.Error("sent to the silent upstream again")
+	}
+	bench.now += 600 * time.Millisecond
+	for _, output := range bench.step() {
+		if stop, ok := output.(event.Stop); ok && stop.ID == hold.ID {
+			t.Error("a request that must not be repeated was stopped")
+		}
+	}
+}
+
+// TestRetriesAreBounded: when every upstream fails, the retries of an entry stay
+// within its share of the common bound.
+func TestRetriesAreBounded(t *testing.T) {
+	bench := newBench(t, 6, retrywindow.Settings{Ratio: 0.2, Slack: 20, Span: 10 * time.Second})
+	const requests = 200
+	retries := 0
+	for i := range uint64(requests) {
+		bench.now += 10 * time.Millisecond
+		outputs := bench.submit(readClass, 1000+i)
+		for retried := -1; ; retried++ {
+			attempted := false
+			for _, output := range outputs {
+				if attempt, ok := output.(event.Attempt); ok {
+					attempted = true
+					outputs = bench.end(attempt, event.Erred)
+					break
+				}
+			}
+			if !attempted {
+				retries += retried
+				break
+			}
+		}
+	}
+	if most := requests/5 + 20; retries > most {
+		t.Errorf("%d retries for %d requests, more than %d", retries, requests, most)
+	}
+	if retries == 0 {
+		t.Error("nothing was retried")
+	}
+}
+
+// TestWaitsForAnUpstream: a request for which there is no upstream waits a moment
+// for one, and is then turned away as not run.
+func TestWaitsForAnUpstream(t *testing.T) {
+	bench := newBench(t, 0, manyRetries)
+	if outputs := bench.submit(holdClass, 1); len(outputs) > 0 {
+		t.Fatalf("not waiting: %+v", outputs)
+	}
+	bench.now += 100 * time.Millisecond
+	only[event.Attempt](t, bench.step(event.UpstreamListed{Upstream: event.Upstream{Name: "u-9", Pool: "pool", Address: "u-9", Revision: 2}}))
+	bench = newBench(t, 0, manyRetries)
+	bench.submit(holdClass, 1)
+	bench.now += 500 * time.Millisecond
+	if finish := only[event.Finish](t, bench.step()); finish.Outcome != message.NotRun || finish.RetryAfter == 0 {
+		t.Errorf("%+v", finish)
+	}
+}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -33,6 +33,7 @@
 	waitUntil time.Duration
 	// number counts attempts, sent those that may have reached an upstream.
 	number     int
+	sentAt     time.Duration
 	sent       int
 	upstream   string
 	tried      []string
@@ -137,7 +138,9 @@
 	upstream := chosen.upstream
 	row.number++
 	row.sent++
+	dispatcher.leaveQueue(row)
 	row.state = running
+	row.sentAt = now
 	row.queued = false
 	row.answered = false
 	row.upstream = upstream.Name
@@ -167,7 +170,7 @@
 // all there are is given up at once.
 func (dispatcher *Dispatcher) wait(now time.Duration, row requestRow) {
 	if len(row.tried) > 0 || now >= row.waitUntil {
-		dispatcher.giveUp(row, message.NoUpstream)
+		dispatcher.giveUp(now, row, message.NoUpstream)
 		return
 	}
 	row.state = waiting
@@ -194,9 +197,9 @@
 		switch {
 		case !ok || row.state != waiting:
 		case row.queued:
-			dispatcher.giveUp(row, message.Overload)
+			dispatcher.giveUp(now, row, message.Overload)
 		default:
-			dispatcher.giveUp(row, message.NoUpstream)
+			dispatcher.giveUp(now, row, message.NoUpstream)
 		}
 	}
 }
@@ -234,7 +237,7 @@
 	dispatcher.release(row)
 	row.delivered = row.delivered || ended.Delivered
 	if row.state == recalled {
-		dispatcher.finish(row, message.Incomplete, message.Cancelled)
+		dispatcher.finish(now, row, message.Incomplete, message.Cancelled)
 		return
 	}
 	row = row.WithTried(row.upstream)
@@ -242,13 +245,14 @@
 	switch ended.Result {
 	case event.Whole:
 		dispatcher.suspects.Clear(row.request.Fingerprint)
-		dispatcher.finish(row, message.Complete, message.NoReason)
+		dispatcher.measure(now, row)
+		dispatcher.finish(now, row, message.Complete, message.NoReason)
 	case event.Unreached:
 		row.sent--
 		dispatcher.place(now, row)
 	case event.Withheld:
 		row.sent--
-		dispatcher.giveUp(row, message.DeadlinePassed)
+		dispatcher.giveUp(now, row, message.DeadlinePassed)
 	case event.Declined, event.Mistaken:
 		dispatcher.retry(now, row, row.attemptsLeft(), message.QueueFull)
 	case event.Erred:
@@ -259,7 +263,7 @@
 		dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.suspected(now, row), message.UpstreamDown)
 	case event.Expired:
 		row.mayHaveRun = true
-		dispatcher.giveUp(row, message.DeadlinePassed)
+		dispatcher.giveUp(now, row, message.DeadlinePassed)
 	}
 }
 
@@ -292,7 +296,7 @@
 func (dispatcher *Dispatcher) retry(now time.Duration, row requestRow, may bool, reason message.Reason) {
 	_, found := dispatcher.choose(now, row)
 	if !may || !found || now >= row.until || !dispatcher.window(row.pool).Take(now, dispatcher.mesh.Entries(now)) {
-		dispatcher.giveUp(row, reason)
+		dispatcher.giveUp(now, row, reason)
 		return
 	}
 	dispatcher.place(now, row)
@@ -308,53 +312,44 @@
 		return
 	}
 	if row.delivered {
-		dispatcher.giveUp(row, message.UpstreamDown)
+		dispatcher.giveUp(now, row, message.UpstreamDown)
 		return
 	}
-	dispatcher.finish(row, message.Failed, message.NoReason)
+	dispatcher.finish(now, row, message.Failed, message.NoReason)
 }
 
 // giveUp ends a request at once. Its outcome is not-run only if no upstream can
 // have run it.
-func (dispatcher *Dispatcher) giveUp(row requestRow, reason message.Reason) {
+func (dispatcher *Dispatcher) giveUp(now time.Duration, row requestRow, reason message.Reason) {
 	switch {
 	case row.delivered:
-		dispatcher.finish(row, message.Incomplete, reason)
+		dispatcher.finish(now, row, message.Incomplete, reason)
 	case row.mayHaveRun:
-		dispatcher.finish(row, message.Unknown, reason)
+		dispatcher.finish(now, row, message.Unknown, reason)
 	default:
-		dispatcher.finish(row, message.NotRun, reason)
+		dispatcher.finish(now, row, message.NotRun, reason)
 	}
 }
 
-func (dispatcher *Dispatcher) finish(row requestRow, outcome message.Outcome, reason message.Reason) {
+func (dispatcher *Dispatcher) finish(now time.Duration, row requestRow, outcome message.Outcome, reason message.Reason) {
 	dispatcher.requests.Delete(row.request.ID)
 	dispatcher.requestDue.Remove(row.request.ID)
-	dispatcher.settings.Waiting.Remove(row.request.ID)
+	dispatcher.leaveQueue(row)
 	finish := event.Finish{ID: row.request.ID, Outcome: outcome, Reason: reason, Upstream: row.upstream, Attempts: row.sent}
 	if outcome == message.NotRun {
-		finish.RetryAfter = dispatcher.returnAfter()
+		finish.RetryAfter = dispatcher.returnAfter(now, reason)
 	}
 	dispatcher.emit(finish)
 }
 
-// returnAfter tells a caller whose request was not run when to come back: at
-// another entry at once if this one drains, else after a moment.
-func (dispatcher *Dispatcher) returnAfter() time.Duration {
-	if dispatcher.draining {
-		return returnWhenDraining
-	}
-	return shortestReturn + time.Duration(dispatcher.settings.Random.Int64N(int64(shortestReturn)))
-}
-
 // recall ends a request whose caller is gone.
-func (dispatcher *Dispatcher) recall(_ time.Duration, id message.RequestID) {
+func (dispatcher *Dispatcher) recall(now time.Duration, id message.RequestID) {
 	row, ok := dispatcher.requests.Get(id)
 	if !ok || row.state == recalled {
 		return
 	}
 	if row.state == waiting {
-		dispatcher.giveUp(row, message.Cancelled)
+		dispatcher.giveUp(now, row, message.Cancelled)
 		return
 	}
 	row.state = recalled
