Log one line for what went well, explain a request by its id, tell leavers apart

Cause: an on-call engineer had lines without a catalogue, two for each request that went well, no metrics of this form of entry, and nothing that puts the lines of a request together.

Abandoned is a result of its own; silence allows for the reading of all entries.

--- a/internal/command/verbs/operator.go
+++ b/internal/command/verbs/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sort"
 	"text/tabwriter"
@@ -15,6 +16,7 @@
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/node/attainment"
+	"endivepost/internal/node/direct"
 	"endivepost/internal/node/entry"
 	"endivepost/internal/node/platform"
 )
@@ -27,11 +29,46 @@
 
 func operatorFlags() []cli.Flag {
 	return []cli.Flag{
-		requiredFlag("platform", "base URL of the configuration service"),
+		textFlag("platform", "base URL of the configuration service", ""),
+		textFlag("entry", "metrics address of any entry that has no published list; it names the others", ""),
 		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 	}
 }
 
+// entriesOf returns the entries by the flags: those of the published list, or
+// the one that is named and those that it hears from.
+func entriesOf(ctx *cli.Context) ([]event.Member, error) {
+	if first := ctx.String("entry"); first != "" {
+		return heardBy(ctx.Context, first)
+	}
+	if ctx.String("platform") == "" {
+		return nil, errors.New("give --platform, the base URL of the configuration service, or --entry, the metrics address of one entry")
+	}
+	return listed(ctx.Context, ctx.String("platform"))
+}
+
+// heardBy returns the entry at the address and the others that it hears from.
+// All serve their metrics at the same port.
+func heardBy(ctx context.Context, address string) ([]event.Member, error) {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("--entry: %w", err)
+	}
+	var status direct.Status
+	if err := ask(ctx, address, "/status", &status); err != nil {
+		return nil, err
+	}
+	entries := []event.Member{{Name: address, Address: address}}
+	for _, peer := range status.Peers {
+		host, _, err := net.SplitHostPort(peer)
+		if err != nil {
+			return nil, fmt.Errorf("status of %s: %w", address, err)
+		}
+		entries = append(entries, event.Member{Name: host, Address: net.JoinHostPort(host, port)})
+	}
+	return entries, nil
+}
+
 // listed returns the entries of the published list.
 func listed(ctx context.Context, base string) ([]event.Member, error) {
 	members, err := platform.New(base).Members(ctx)
@@ -74,7 +111,7 @@
 // gather asks all entries and sums up their rows. Entries that do not answer
 // are named on the error stream: the sum is then partial.
 func gather(ctx *cli.Context) ([]attainment.Row, error) {
-	entries, err := listed(ctx.Context, ctx.String("platform"))
+	entries, err := entriesOf(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -180,10 +217,14 @@
 }
 
 func explainCommand() *cli.Command {
-	return &cli.Command{ArgsUsage: "CLASS", Flags: operatorFlags(), Action: func(ctx *cli.Context) error {
+	flags := append(operatorFlags(), &cli.StringSliceFlag{Name: "log", Usage: "log file of an entry, - for standard input: explain one request from it"})
+	return &cli.Command{ArgsUsage: "CLASS or REQUEST", Flags: flags, Action: func(ctx *cli.Context) error {
 		name := ctx.Args().First()
 		if name == "" {
-			return errors.New("explain: name a class")
+			return errors.New("explain: name a class, or a request with --log")
+		}
+		if logs := ctx.StringSlice("log"); len(logs) > 0 {
+			return explainRequest(ctx, name, logs)
 		}
 		rows, err := gather(ctx)
 		if err != nil {
--- a/internal/command/verbs/platform_entry.go
+++ b/internal/command/verbs/platform_entry.go
@@ -14,6 +14,7 @@
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/node/direct"
+	"endivepost/internal/node/logevent"
 	"endivepost/internal/node/logqueue"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/policy/retrywindow"
@@ -90,10 +91,10 @@
 		}
 		read, err := platform.ReadSettings(ctx.String("settings"))
 		if err != nil {
-			observe.Log.WithField("event", "reload-failed").WithError(err).Error()
+			observe.Log.WithField("event", string(logevent.ReloadFailed)).WithError(err).Error()
 			continue
 		}
-		observe.Log.WithField("event", "reloaded").WithField("peers", len(read.Peers)).Info()
+		observe.Log.WithField("event", string(logevent.Reloaded)).WithField("peers", len(read.Peers)).Info()
 		entry.FindPeers(read.Peers)
 	}
 }
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -147,6 +147,22 @@
 	return dispatcher.requests.Len()
 }
 
+// Surroundings returns how many upstreams may be sent work, and how many entries
+// share it.
+func (dispatcher *Dispatcher) Surroundings(now time.Duration) (upstreams, entries int) {
+	for _, row := range dispatcher.roster.Rows() {
+		if dispatcher.roster.Usable(now, row.Name) {
+			upstreams++
+		}
+	}
+	return upstreams, dispatcher.mesh.Entries(now)
+}
+
+// Peers returns the addresses of the entries that are connected.
+func (dispatcher *Dispatcher) Peers() []string {
+	return dispatcher.mesh.Addresses()[1:]
+}
+
 func (dispatcher *Dispatcher) take(now time.Duration, input event.Input) {
 	switch input := input.(type) {
 	case event.Submitted:
@@ -254,11 +270,11 @@
 	dispatcher.moved = true
 	dispatcher.freed = true
 	upstream, _ := dispatcher.roster.Find(name)
-	state := "usable"
+	belief := event.Usable
 	if !dispatcher.roster.Usable(now, name) {
-		state = "left"
+		belief = event.Left
 	}
-	dispatcher.emit(event.Believed{Subject: "upstream", Name: name, State: state, Version: upstream.Revision})
+	dispatcher.emit(event.Believed{Belief: belief, Name: name, Version: upstream.Revision})
 	dispatcher.beatDue = min(dispatcher.beatDue, now)
 }
 
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -114,6 +114,8 @@
 		{readClass, []event.AttemptResult{broken, erred, whole}, message.Complete, 3},
 		{readClass, []event.AttemptResult{broken, declined, declined}, message.Unknown, 3},
 		{readClass, []event.AttemptResult{erred, erred, erred}, message.Failed, 3},
+		{readClass, []event.AttemptResult{event.Abandoned}, message.Incomplete, 1},
+		{holdClass, []event.AttemptResult{event.Abandoned}, message.Incomplete, 1},
 		{readClass, []event.AttemptResult{unreached, unreached, unreached, unreached}, message.NotRun, 0},
 	}
 	for _, row := range cases {
@@ -239,3 +241,23 @@
 		t.Errorf("%+v", finish)
 	}
 }
+
+// TestReadingIsNotSilence: an engine that reads what other entries sent first is
+// not taken for a silent one.
+func TestReadingIsNotSilence(t *testing.T) {
+	bench := newBench(t, 2, manyRetries)
+	peer := mesh.Accepted("other")
+	beat := message.EntryBeat{Uses: []message.Use{
+		{Upstream: "u-0", Running: 6, Reading: 120_000}, {Upstream: "u-1", Running: 6, Reading: 120_000},
+	}}
+	bench.step(event.LinkOpened{Peer: peer, Link: 1}, event.Received{Peer: peer, Link: 1, Message: beat})
+	only[event.Attempt](t, bench.submit(readClass, 1))
+	for bench.now < 2*time.Second {
+		bench.now += 50 * time.Millisecond
+		for _, output := range bench.step() {
+			if _, stopped := output.(event.Stop); stopped {
+				t.Fatalf("stopped after %v", bench.now)
+			}
+		}
+	}
+}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -236,7 +236,7 @@
 	}
 	dispatcher.release(row)
 	row.delivered = row.delivered || ended.Delivered
-	if row.state == recalled {
+	if row.state == recalled || ended.Result == event.Abandoned {
 		dispatcher.finish(now, row, message.Incomplete, message.Cancelled)
 		return
 	}
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -54,6 +54,9 @@
 	// silentAfter is how long an upstream may send nothing at all while it has
 	// work, beside the time for reading its prompts.
 	silentAfter = 700 * time.Millisecond
+	// readingSlack multiplies the predicted time of reading, which grows with the
+	// length of the prompts.
+	readingSlack = 1.5
 	// mostHomes is the number of upstreams that a prefix is sent to by preference.
 	mostHomes = 2
 	// defaultCache is the size of a KV cache that the document does not state.
@@ -279,14 +282,19 @@
 	dispatcher.usesChanged()
 }
 
-// silent says whether the upstream has sent nothing for longer than its work
-// explains.
-func (row upstreamRow) silent(now time.Duration) bool {
+// quietFor returns for how long the upstream has had work and sent nothing.
+func (row upstreamRow) quietFor(now time.Duration) time.Duration {
 	if row.use.Running == 0 {
-		return false
+		return 0
 	}
-	quietSince := max(row.heard, row.busySince)
-	return now-quietSince > silentAfter+enginechoice.ReadingTime(row.use.Reading)
+	return now - max(row.heard, row.busySince)
+}
+
+// silent says whether the upstream has sent nothing for longer than the work of
+// all entries explains.
+func (dispatcher *Dispatcher) silent(now time.Duration, name string, row upstreamRow) bool {
+	reading := enginechoice.ReadingTime(dispatcher.allUses()[name].Reading)
+	return row.quietFor(now) > silentAfter+time.Duration(readingSlack*float64(reading))
 }
 
 // moveFromSilent takes repeatable requests away from upstreams that have gone
@@ -299,11 +307,11 @@
 	dispatcher.listenDue = now + listenEvery
 	for _, name := range dispatcher.upstreams.Keys() {
 		held, _ := dispatcher.upstreams.Get(name)
-		if !held.silent(now) || now < held.avoidUntil {
+		if now < held.avoidUntil || !dispatcher.silent(now, name, held) {
 			continue
 		}
 		dispatcher.upstreams.Put(name, held.WithFailure(now))
-		dispatcher.emit(event.Believed{Subject: "upstream", Name: name, State: "silent", Version: uint64(now - held.heard)})
+		dispatcher.emit(event.Believed{Belief: event.Silent, Name: name, Version: uint64(held.quietFor(now).Milliseconds())})
 		dispatcher.moveAll(now, name)
 	}
 }
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -173,10 +173,12 @@
 	Expired
 	// Withheld means that nothing was sent since the time was up.
 	Withheld
+	// Abandoned means that the caller went away: the request may have run.
+	Abandoned
 )
 
 var attemptResultNames = [...]string{
-	"", "whole", "unreached", "declined", "mistaken", "erred", "broken", "stopped", "expired", "withheld",
+	"", "whole", "unreached", "declined", "mistaken", "erred", "broken", "stopped", "expired", "withheld", "abandoned",
 }
 
 // String returns the kebab-case name that logs show.
@@ -213,15 +215,35 @@
 	Entries int
 }
 
+// Fields returns the view as fields of a log line.
+func (view View) Fields() map[string]any {
+	return map[string]any{
+		"running": view.Running, "reading": view.Reading, "unread": view.Unread, "apart": view.Apart, "entries-heard": view.Entries,
+	}
+}
+
 // Believed reports a change of what the core believes about its surroundings,
 // for the log.
 type Believed struct {
-	Subject string
+	Belief  Belief
 	Name    string
-	State   string
 	Version uint64
 }
 
+// Belief is what is believed of an upstream.
+type Belief uint8
+
+// The beliefs of an upstream.
+const (
+	// Usable means that it may be sent new work.
+	Usable Belief = iota + 1
+	// Left means that it is leaving or gone. Version is the revision of its row.
+	Left
+	// Silent means that it has work and sends nothing. Version is for how long,
+	// in milliseconds.
+	Silent
+)
+
 // CallerGone reports that the caller hung up or reads too slowly.
 type CallerGone struct{ ID message.RequestID }
 
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -6,11 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"endivepost/internal/core/event"
 	"endivepost/internal/node/dialect"
 	"endivepost/internal/node/eventstream"
@@ -88,13 +85,15 @@
 func sortFailure(ctx context.Context, err error) event.AttemptResult {
 	unsent := errors.Is(err, exchange.ErrUnreached) || errors.Is(err, exchange.ErrNothingSent)
 	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled), errors.Is(err, errCaller):
+		return event.Abandoned
 	case unsent && errors.Is(context.Cause(ctx), errTimeUp), errors.Is(err, errTimeUp):
 		return event.Withheld
 	case unsent:
 		return event.Unreached
 	case errors.Is(context.Cause(ctx), errTimeUp):
 		return event.Expired
-	case context.Cause(ctx) != nil, errors.Is(err, errCaller):
+	case errors.Is(context.Cause(ctx), errStopped):
 		return event.Stopped
 	}
 	return event.Broken
@@ -155,6 +154,7 @@
 		return event.Erred, nil
 	}
 	served.begun = true
+	served.first = time.Since(served.arrived)
 	held.write(served)
 	return event.Whole, nil
 }
@@ -215,7 +215,7 @@
 	if numbered {
 		served.lastID = id
 	}
-	served.events++
+	served.measure(time.Now())
 	return nil
 }
 
@@ -238,17 +238,3 @@
 	}
 	served.writer.WriteHeader(answer.StatusCode)
 }
-
-func (served *served) logCause(order event.Attempt, err error) {
-	served.entry.log("attempt-failed").WithFields(logrus.Fields{
-		"request": served.call.ID, "attempt": order.Number, "upstream": order.Upstream, "cause": strings.ReplaceAll(err.Error(), "\n", "; "),
-	}).Info()
-}
-
-func (served *served) logAttempt(order event.Attempt, ended event.AttemptEnded) {
-	served.entry.log("attempt-ended").WithFields(logrus.Fields{
-		"request": served.call.ID, "attempt": order.Number, "upstream": order.Upstream, "result": ended.Result.String(),
-		"status": ended.Status, "after-ms": time.Since(served.arrived).Milliseconds(), "running": order.View.Running,
-		"reading": order.View.Reading, "unread": order.View.Unread, "apart": order.View.Apart, "entries-heard": order.View.Entries,
-	}).Info()
-}
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -17,9 +17,12 @@
 	"endivepost/internal/core/dispatch"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/mesh"
+	"endivepost/internal/node/attainment"
 	"endivepost/internal/node/dialect"
 	"endivepost/internal/node/exchange"
 	"endivepost/internal/node/httpserver"
+	"endivepost/internal/node/logevent"
+	"endivepost/internal/node/loglimit"
 	"endivepost/internal/node/loop"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/policy/retrywindow"
@@ -34,6 +37,8 @@
 	telemetry  *telemetry.Telemetry
 	dispatcher *dispatch.Dispatcher
 	loop       *loop.Loop
+	board      *attainment.Board
+	limit      *loglimit.Limit
 	exchange   *exchange.Exchange
 	index      atomic.Pointer[index.Index]
 	ready      atomic.Bool
@@ -90,6 +95,8 @@
 	// process says that it is not ready: two missed questions a second apart.
 	balancerLinger = 2800 * time.Millisecond
 	// exitMargin is kept between our own end and the kill at the end of the grace.
+	// mostLines is the number of lines a second on requests that went well.
+	mostLines   = 200
 	exitMargin  = 500 * time.Millisecond
 	flushWithin = 100 * time.Millisecond
 )
@@ -99,6 +106,8 @@
 	entry := &Entry{
 		settings:  settings,
 		telemetry: observe,
+		board:     attainment.New(),
+		limit:     loglimit.New(mostLines),
 		exchange:  exchange.New(exchange.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdle, MostIdle: mostIdle}),
 		links:     make(map[string]numbered),
 		calls:     make(map[message.RequestID]*orders),
@@ -138,7 +147,7 @@
 	entry.FindPeers(entry.settings.Peers)
 	go entry.settings.Follow(running, entry.loop.Tell)
 	go entry.prune(running)
-	entry.log("started").WithFields(logrus.Fields{
+	entry.log(logevent.Started).WithFields(logrus.Fields{
 		"domain": entry.settings.Domain, "listen": entry.settings.CallerAddress, "peers": len(entry.settings.Peers),
 	}).Info()
 	<-ctx.Done()
@@ -168,7 +177,7 @@
 	if entry.settings.MetricsAddress == "" {
 		return callers, nil
 	}
-	_, err = httpserver.Listen(entry.settings.MetricsAddress, entry.metricsRoutes(ctx))
+	_, err = httpserver.Listen(entry.settings.MetricsAddress, entry.operatorRoutes(ctx))
 	return callers, err
 }
 
@@ -177,15 +186,15 @@
 func (entry *Entry) drain(callers *httpserver.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), entry.settings.Grace-exitMargin)
 	defer cancel()
-	entry.log("draining").WithField("in-progress", entry.inProgress()).Info()
+	entry.log(logevent.Draining).WithField("in-progress", entry.inProgress()).Info()
 	entry.draining.Store(true)
 	entry.loop.Tell(event.DrainBegun{})
 	time.Sleep(min(balancerLinger, entry.settings.Grace-exitMargin))
 	if err := callers.Shutdown(ctx); err != nil {
-		entry.log("shutdown-cut-off").WithError(err).WithField("in-progress", entry.inProgress()).Warn()
+		entry.log(logevent.ShutdownCutOff).WithError(err).WithField("in-progress", entry.inProgress()).Warn()
 	}
 	entry.closeLinks()
-	entry.log("stopped").Info()
+	entry.log(logevent.Stopped).Info()
 }
 
 func (entry *Entry) inProgress() int {
@@ -233,23 +242,28 @@
 	}
 }
 
+// beliefs names the events for what is believed of upstreams.
+var beliefs = map[event.Belief]logevent.Name{
+	event.Usable: logevent.UpstreamUsable, event.Left: logevent.UpstreamLeft, event.Silent: logevent.UpstreamSilent,
+}
+
 // note takes what changes the belief of the process.
 func (entry *Entry) note(output event.Output) {
 	switch output := output.(type) {
 	case event.DocumentAccepted:
 		entry.index.Store(index.New(output.Document))
-		entry.log("config-accepted").WithFields(logrus.Fields{
+		entry.log(logevent.ConfigAccepted).WithFields(logrus.Fields{
 			"version": output.Document.Version, "classes": len(output.Document.Classes), "accounts": len(output.Document.Accounts),
 		}).Info()
 	case event.DocumentRejected:
-		entry.log("config-rejected").WithError(output.Err).Error()
+		entry.log(logevent.ConfigRejected).WithError(output.Err).Error()
 	case event.Believed:
-		entry.log(output.Subject + "-" + output.State).WithFields(logrus.Fields{"name": output.Name, "version": output.Version}).Info()
+		entry.log(beliefs[output.Belief]).WithFields(logrus.Fields{"name": output.Name, "version": output.Version}).Info()
 	case event.Ready:
 		entry.ready.Store(true)
-		entry.log("ready").Info()
+		entry.log(logevent.Ready).Info()
 	case event.Drained:
-		entry.log("drained").Info()
+		entry.log(logevent.Drained).Info()
 	}
 }
 
@@ -265,7 +279,3 @@
 	found, ok := entry.calls[id]
 	return found, ok
 }
-
-func (entry *Entry) log(name string) *logrus.Entry {
-	return entry.telemetry.Log.WithFields(logrus.Fields{"event": name, "process": entry.settings.Name})
-}
--- a/internal/node/direct/links.go
+++ b/internal/node/direct/links.go
@@ -1,13 +1,13 @@
 package direct
 
 import (
-	"context"
 	"net/http"
 
 	"github.com/gorilla/mux"
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/mesh"
+	"endivepost/internal/node/logevent"
 	"endivepost/internal/wire/link"
 	"endivepost/internal/wire/message"
 )
@@ -23,16 +23,10 @@
 	return router
 }
 
-func (entry *Entry) metricsRoutes(context.Context) http.Handler {
-	router := mux.NewRouter()
-	router.Handle("/metrics", entry.telemetry.Handler)
-	return router
-}
-
 func (entry *Entry) acceptLink(writer http.ResponseWriter, request *http.Request) {
 	accepted, err := link.Accept(writer, request, entry.settings.Secret, entry.identity())
 	if err != nil {
-		entry.log("link-refused").WithError(err).Warn()
+		entry.log(logevent.LinkRefused).WithError(err).Warn()
 		return
 	}
 	entry.serveLink(mesh.Accepted(accepted.Peer().Name), entry.sequence.Add(1), accepted)
@@ -41,7 +35,7 @@
 func (entry *Entry) dial(wanted event.Dial) {
 	dialled, err := link.Dial(wanted.Address, entry.settings.Secret, entry.identity())
 	if err != nil {
-		entry.log("dial-failed").WithField("peer", wanted.Peer).WithError(err).Warn()
+		entry.log(logevent.DialFailed).WithField("peer", wanted.Peer).WithError(err).Warn()
 		entry.loop.Tell(event.LinkClosed{Peer: wanted.Peer, Link: wanted.Link})
 		return
 	}
@@ -54,12 +48,12 @@
 	entry.links[peer] = numbered{link: opened, number: number}
 	entry.mutex.Unlock()
 	entry.loop.Tell(event.LinkOpened{Peer: peer, Link: number, Boot: opened.Peer().Boot})
-	entry.log("link-opened").WithField("peer", peer).Info()
+	entry.log(logevent.LinkOpened).WithField("peer", peer).Info()
 	err := opened.Run(func(body message.Message) {
 		entry.loop.Tell(event.Received{Peer: peer, Link: number, Message: body})
 	})
 	entry.loop.Tell(event.LinkClosed{Peer: peer, Link: number})
-	entry.log("link-closed").WithField("peer", peer).WithError(err).Info()
+	entry.log(logevent.LinkClosed).WithField("peer", peer).WithError(err).Info()
 }
 
 func (entry *Entry) findLink(peer string, number uint64) (*link.Link, bool) {
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -17,6 +17,7 @@
 	"endivepost/internal/core/event"
 	"endivepost/internal/node/caller"
 	"endivepost/internal/node/dialect"
+	"endivepost/internal/node/logevent"
 	"endivepost/internal/wire/message"
 )
 
@@ -169,7 +170,8 @@
 	if !errors.As(err, &refused) {
 		refused = refusal{status: http.StatusBadRequest, code: "bad-request", detail: err.Error()}
 	}
-	entry.log("request-refused").WithFields(logrus.Fields{
+	entry.telemetry.Metrics.Tagged(map[string]string{"code": refused.code}).Counter("refused").Inc(1)
+	entry.log(logevent.RequestRefused).WithFields(logrus.Fields{
 		"request": refused.id, "code": refused.code, "status": refused.status, "version": refused.version, "detail": refused.detail,
 	}).Info()
 	writeRefusal(writer, refused)
@@ -203,8 +205,9 @@
 	for order := range served.orders.queue {
 		switch order := order.(type) {
 		case event.Attempt:
+			served.view = order.View
 			ended := served.attempt(ctx, order)
-			served.logAttempt(order, ended)
+			served.recordAttempt(order, ended)
 			entry.loop.Tell(ended)
 		case event.Finish:
 			served.finish(order)
@@ -229,17 +232,15 @@
 	lastID   string
 	events   int
 	first    time.Duration
+	latest   time.Time
+	slow     int
+	view     event.View
 }
 
 // finish gives the caller its final answer, if it has none yet.
 func (served *served) finish(finish event.Finish) {
 	status := served.answerFinish(finish)
-	served.entry.log("request-finished").WithFields(logrus.Fields{
-		"request": served.call.ID, "class": served.resolved.Class.Name, "account": served.resolved.Account, "tier": served.resolved.Tier,
-		"outcome": finish.Outcome.String(), "reason": finish.Reason.String(), "status": status, "upstream": finish.Upstream,
-		"attempts": finish.Attempts, "events": served.events, "first-ms": served.first.Milliseconds(),
-		"took-ms": time.Since(served.arrived).Milliseconds(), "version": served.version, "retry-after-ms": finish.RetryAfter.Milliseconds(),
-	}).Info()
+	served.record(finish, status)
 	if finish.Outcome == message.Incomplete {
 		// The connection must end here, or the answer would look complete.
 		panic(http.ErrAbortHandler)
