Give no work to upstreams that fail far more often than the others

An upstream that answers 500 in a few milliseconds has nothing in progress and is always the cheapest choice: in the test 272 of 400 requests went to the one of four that fails half of them.

Answers that the time was up do not count.

Ruled out: avoiding an upstream after each failure, as after a lost connection: one lookup in seven fails by itself on every upstream.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"endivepost/internal/data/table"
 	"endivepost/internal/policy/drainrate"
 	"endivepost/internal/policy/order"
+	"endivepost/internal/policy/outlier"
 	"endivepost/internal/policy/retrywindow"
 	"endivepost/internal/policy/setapart"
 	"endivepost/internal/wire/message"
@@ -37,6 +38,7 @@
 	suspects   *suspects.Table
 	retries    map[string]*retrywindow.Window
 	splits     map[string]*setapart.Split
+	rates      *outlier.Rates
 	ready      bool
 	listRead   bool
 	draining   bool
@@ -98,6 +100,7 @@
 		retries:     make(map[string]*retrywindow.Window),
 		splits:      make(map[string]*setapart.Split),
 		drain:       drainrate.New(drainSpan),
+		rates:       outlier.New(),
 		answerTimes: make(map[string]time.Duration),
 	}
 }
@@ -273,6 +276,7 @@
 	belief := event.Usable
 	if !dispatcher.roster.Usable(now, name) {
 		belief = event.Left
+		dispatcher.rates.Forget(name)
 	}
 	dispatcher.emit(event.Believed{Belief: belief, Name: name, Version: upstream.Revision})
 	dispatcher.beatDue = min(dispatcher.beatDue, now)
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -261,3 +261,44 @@
 		}
 	}
 }
+
+// TestGreyUpstream: an upstream that fails half of what it gets at once looks
+// idle beside busy ones; few requests may go there all the same.
+func TestGreyUpstream(t *testing.T) {
+	bench := newBench(t, 4, manyRetries)
+	const requests, service = 400, 40 * time.Millisecond
+	type running struct {
+		attempt event.Attempt
+		ends    time.Duration
+	}
+	var busy []running
+	grey, failed := 0, 0
+	for sent := 0; sent < requests; bench.now += 5 * time.Millisecond {
+		var left []running
+		for _, held := range busy {
+			if held.ends > bench.now {
+				left = append(left, held)
+				continue
+			}
+			bench.end(held.attempt, event.Whole)
+		}
+		busy = left
+		sent++
+		attempt := only[event.Attempt](t, bench.submit(holdClass, uint64(sent)))
+		if attempt.Upstream != "u-0" {
+			busy = append(busy, running{attempt, bench.now + service})
+			continue
+		}
+		grey++
+		if grey%2 == 0 {
+			failed++
+			bench.end(attempt, event.Erred)
+			continue
+		}
+		bench.end(attempt, event.Whole)
+	}
+	// A fourth of the requests is its part; a tenth is what finding out may cost.
+	if grey > requests/10 {
+		t.Errorf("%d of %d requests went to the grey upstream, %d failed", grey, requests, failed)
+	}
+}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/http"
 	"time"
 
 	"endivepost/internal/config/document"
@@ -43,6 +44,8 @@
 	mayHaveRun bool
 	// queued says that it waits for room and not for an upstream.
 	queued bool
+	// view is what decided for the upstream that was chosen last.
+	view event.View
 }
 
 // urgentTarget is the longest target between tokens of a stream that the
@@ -126,6 +129,7 @@
 		dispatcher.wait(now, row)
 		return
 	}
+	row.view = chosen.view
 	if !dispatcher.hasRoom(row, chosen) {
 		dispatcher.queue(now, row, chosen)
 		return
@@ -136,6 +140,7 @@
 // send gives the request to the upstream.
 func (dispatcher *Dispatcher) send(now time.Duration, row requestRow, chosen choice) {
 	upstream := chosen.upstream
+	row.view = chosen.view
 	row.number++
 	row.sent++
 	dispatcher.leaveQueue(row)
@@ -270,6 +275,7 @@
 // judgeUpstream draws from the end of an attempt what it says about the upstream.
 func (dispatcher *Dispatcher) judgeUpstream(now time.Duration, row requestRow, ended event.AttemptEnded) {
 	held := dispatcher.upstream(row.upstream)
+	dispatcher.observe(now, row, ended)
 	switch ended.Result {
 	case event.Whole:
 		held = held.WithSuccess(now)
@@ -286,6 +292,17 @@
 	}
 }
 
+// observe takes an answer into the upstream's share of failures. That the time
+// was up says more of the request and its load than of the upstream.
+func (dispatcher *Dispatcher) observe(now time.Duration, row requestRow, ended event.AttemptEnded) {
+	switch {
+	case ended.Result == event.Whole:
+		dispatcher.rates.Observe(now, row.upstream, false)
+	case ended.Result == event.Erred && ended.Status != http.StatusGatewayTimeout:
+		dispatcher.rates.Observe(now, row.upstream, true)
+	}
+}
+
 func (dispatcher *Dispatcher) suspected(now time.Duration, row requestRow) bool {
 	crashes, _ := dispatcher.suspects.Crashes(now, row.request.Fingerprint)
 	return crashes >= refuseFrom
@@ -335,7 +352,7 @@
 	dispatcher.requests.Delete(row.request.ID)
 	dispatcher.requestDue.Remove(row.request.ID)
 	dispatcher.leaveQueue(row)
-	finish := event.Finish{ID: row.request.ID, Outcome: outcome, Reason: reason, Upstream: row.upstream, Attempts: row.sent}
+	finish := event.Finish{ID: row.request.ID, Outcome: outcome, Reason: reason, Upstream: row.upstream, Attempts: row.sent, View: row.view}
 	if outcome == message.NotRun {
 		finish.RetryAfter = dispatcher.returnAfter(now, reason)
 	}
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -75,6 +75,14 @@
 	return row
 }
 
+func names(upstreams []event.Upstream) []string {
+	names := make([]string, len(upstreams))
+	for i, upstream := range upstreams {
+		names[i] = upstream.Name
+	}
+	return names
+}
+
 // choice is an upstream with the belief that spoke for it.
 type choice struct {
 	upstream event.Upstream
@@ -85,8 +93,9 @@
 // that were tried or failed lately are taken only if there is no other.
 func (dispatcher *Dispatcher) choose(now time.Duration, row requestRow) (choice, bool) {
 	usable := dispatcher.roster.InPool(now, row.pool)
+	outliers := dispatcher.rates.Outliers(now, names(usable))
 	fresh := slices.DeleteFunc(slices.Clone(usable), func(upstream event.Upstream) bool {
-		return slices.Contains(row.tried, upstream.Name) || now < dispatcher.upstream(upstream.Name).avoidUntil
+		return slices.Contains(row.tried, upstream.Name) || outliers[upstream.Name] || now < dispatcher.upstream(upstream.Name).avoidUntil
 	})
 	if len(fresh) == 0 {
 		fresh = slices.DeleteFunc(usable, func(upstream event.Upstream) bool { return slices.Contains(row.tried, upstream.Name) })
@@ -124,6 +133,7 @@
 	chosen := candidates[best]
 	return choice{upstream: rotated[best], view: event.View{
 		Running: chosen.Running, Reading: chosen.Reading, Unread: chosen.Unread, Apart: chosen.Apart, Entries: len(dispatcher.mesh.Beats()),
+		Waiting: int(dispatcher.waitingWork),
 	}}
 }
 
@@ -132,16 +142,14 @@
 // agree without talking but for the last one or two.
 func (dispatcher *Dispatcher) apart(now time.Duration, pool string, uses map[string]message.Use) map[string]bool {
 	upstreams := dispatcher.roster.InPool(now, pool)
-	names := make([]string, len(upstreams))
 	urgent, others := 0, 0
-	for i, upstream := range upstreams {
-		names[i] = upstream.Name
+	for _, upstream := range upstreams {
 		urgent += uses[upstream.Name].Urgent
 		others += uses[upstream.Name].Running - uses[upstream.Name].Urgent
 	}
-	size := dispatcher.split(pool).Size(now, setapart.Load{Urgent: urgent, Others: others, Engines: len(names)})
+	size := dispatcher.split(pool).Size(now, setapart.Load{Urgent: urgent, Others: others, Engines: len(upstreams)})
 	apart := make(map[string]bool, size)
-	for _, name := range rendezvous.Rank([]byte(pool), names)[:size] {
+	for _, name := range rendezvous.Rank([]byte(pool), names(upstreams))[:size] {
 		apart[name] = true
 	}
 	return apart
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -213,12 +213,15 @@
 	Apart   bool
 	// Entries is the number of other entries whose reports are in it.
 	Entries int
+	// Waiting counts the prompt tokens that wait for room at this entry.
+	Waiting int
 }
 
 // Fields returns the view as fields of a log line.
 func (view View) Fields() map[string]any {
 	return map[string]any{
 		"running": view.Running, "reading": view.Reading, "unread": view.Unread, "apart": view.Apart, "entries-heard": view.Entries,
+		"waiting": view.Waiting,
 	}
 }
 
@@ -304,6 +307,9 @@
 	Upstream   string
 	Attempts   int
 	Wasted     int
+	// View is what an entry without sidecars last believed of the upstream that
+	// it would choose.
+	View View
 }
 
 // Start hands a request over to the upstream, unless the shell's clock is past
