--- a/internal/node/direct/observe.go
+++ b/internal/node/direct/observe.go
@@ -52,14 +52,14 @@
 	scope := entry.telemetry.Metrics.Tagged(map[string]string{"class": served.resolved.Class.Name})
 	scope.Tagged(map[string]string{"outcome": finish.Outcome.String(), "reason": finish.Reason.String()}).Counter("requests").Inc(1)
 	scope.Counter("pauses").Inc(int64(served.slow))
-	scope.Counter("unread_tokens").Inc(int64(served.view.Unread))
+	scope.Counter("unread_tokens").Inc(int64(finish.View.Unread))
 	scope.Histogram("first_answer_seconds", latencyBuckets).RecordDuration(served.first)
 	scope.Histogram("whole_answer_seconds", latencyBuckets).RecordDuration(took)
 	well := finish.Outcome == message.Complete && finish.Attempts == 1
 	if well && !entry.mayLog() {
 		return
 	}
-	entry.log(logevent.RequestFinished).WithFields(served.view.Fields()).WithFields(logrus.Fields{
+	entry.log(logevent.RequestFinished).WithFields(finish.View.Fields()).WithFields(logrus.Fields{
 		"request": served.call.ID, "class": served.resolved.Class.Name, "account": served.resolved.Account, "tier": served.resolved.Tier,
 		"outcome": finish.Outcome.String(), "reason": finish.Reason.String(), "status": status, "upstream": finish.Upstream,
 		"attempts": finish.Attempts, "events": served.events, "first-ms": served.first.Milliseconds(),
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -205,7 +205,6 @@
 	for order := range served.orders.queue {
 		switch order := order.(type) {
 		case event.Attempt:
-			served.view = order.View
 			ended := served.attempt(ctx, order)
 			served.recordAttempt(order, ended)
 			entry.loop.Tell(ended)
@@ -234,7 +233,6 @@
 	first    time.Duration
 	latest   time.Time
 	slow     int
-	view     event.View
 }
 
 // finish gives the caller its final answer, if it has none yet.
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -2,6 +2,8 @@
 // upstreams without sidecars.
 package logevent
 
+import "fmt"
+
 // Name is the value of the field event in a log line.
 type Name string
 
@@ -72,13 +74,18 @@
 	{AttemptFailed, "an attempt ended without an answer", "request, attempt, upstream, cause"},
 	{
 		AttemptEnded, "an attempt did not end a request, or ended one after others",
-		"request, attempt, upstream, result, status, after-ms, running, reading, unread, apart, entries-heard",
+		"request, attempt, upstream, result, status, after-ms, running, reading, unread, apart, entries-heard, waiting",
 	},
 	{
 		RequestFinished, "a request has its final answer",
 		"request, class, account, tier, outcome, reason, status, upstream, attempts, events, first-ms, took-ms, version, " +
-			"retry-after-ms, running, reading, unread, apart, entries-heard",
+			"retry-after-ms, running, reading, unread, apart, entries-heard, waiting",
 	},
 	{LinesLeftOut, "lines of requests that went well were left out in the last second", "count"},
 	{LinesDropped, "nobody read the log fast enough", "count"},
 }
+
+// Row returns the event as a row of the table in docs/OPERATIONS.md.
+func (entry Entry) Row() string {
+	return fmt.Sprintf("| %s | %s | %s |", entry.Name, entry.When, entry.Fields)
+}
--- a/internal/node/story/story.go
+++ b/internal/node/story/story.go
@@ -143,6 +143,10 @@
 	if fields["upstream"] != "" {
 		text += ", the last at " + fields["upstream"]
 	}
+	if fields["attempts"] == "0" && fields["waiting"] != "0" {
+		text += fmt.Sprintf("; %s tokens waited, the best upstream had %s running and %s to read, by %s other entries",
+			fields["waiting"], fields["running"], fields["reading"], fields["entries-heard"])
+	}
 	if fields["retry-after-ms"] != "0" && fields["retry-after-ms"] != "" {
 		text += fmt.Sprintf("; told to come back after %s ms", fields["retry-after-ms"])
 	}
