--- a/internal/command/verbs/help.go
+++ b/internal/command/verbs/help.go
@@ -31,6 +31,13 @@
 `,
 	"settings": `Each flag can be given as an environment variable: --listen is
 ENDIVEPOST_LISTEN. Processes share the secret ENDIVEPOST_SECRET.
+`,
+	"platform": `On the users' platform one entry runs on each entry VM:
+  endivepost platform-entry            reads the file that ENDIVEPOST_NODE_FILE names
+  endivepost check --platform FILE     checks such a file and starts nothing
+  endivepost attainment --entry ADDR   asks one entry's metrics address and those it hears from
+  endivepost explain ID --log FILE     tells what became of a request, from the entries' logs
+SIGHUP reads the settings file again; SIGTERM drains within the grace.
 `,
 	"keys": `A non-idempotent request runs at most once. Give it an Idempotency-Key, and
 send it again with the same key if the outcome is unknown: the kept answer is
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -73,7 +73,7 @@
 // serve carries one request from its arrival to its final word.
 func (entry *Entry) serve(writer http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
-	if entry.draining.Load() {
+	if entry.draining.Load() || mayHideRequest(request) {
 		writer.Header().Set("Connection", "close")
 	}
 	published := entry.index.Load()
@@ -96,6 +96,13 @@
 	entry.carry(request.Context(), served)
 }
 
+// mayHideRequest says whether the end of the body was told by chunks. Its header
+// may have told a length as well, which the library drops without a word; what
+// the sender means to be the rest of the body must then not be read as a request.
+func mayHideRequest(request *http.Request) bool {
+	return len(request.TransferEncoding) > 0
+}
+
 const notReadyReturn = 300 * time.Millisecond
 
 // read resolves the class and account of a request and takes in its body.
--- /dev/null
+++ b/internal/wire/message/entries.go
@@ -0,0 +1,47 @@
+package message
+
+// EntryBeat is what entries without sidecars tell each other. Uses holds what
+// the sender has in progress; an upstream that it leaves out is idle there.
+type EntryBeat struct {
+	ConfigVersion uint64      `cbor:"1,keyasint,omitempty"`
+	Entries       []string    `cbor:"2,keyasint,omitempty"`
+	Uses          []Use       `cbor:"3,keyasint,omitempty"`
+	Departures    []Departure `cbor:"4,keyasint,omitempty"`
+	Suspicions    []Suspicion `cbor:"5,keyasint,omitempty"`
+	Leaving       bool        `cbor:"6,keyasint,omitempty"`
+}
+
+// Use is one entry's work in progress at one upstream.
+type Use struct {
+	Upstream string `cbor:"1,keyasint"`
+	Running  int    `cbor:"2,keyasint,omitempty"`
+	// Reading counts the prompt tokens of requests without a first event yet.
+	Reading int `cbor:"3,keyasint,omitempty"`
+	// Urgent counts the running streams with a short target between tokens.
+	Urgent int `cbor:"4,keyasint,omitempty"`
+}
+
+// Departure says that an upstream is leaving or gone since a revision of its row.
+type Departure struct {
+	Upstream string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+}
+
+// ListPull asks an entry for the upstreams that it knows of.
+type ListPull struct{}
+
+// UpstreamList is what an entry knows of the published list of upstreams.
+type UpstreamList struct {
+	Upstreams []Upstream `cbor:"1,keyasint,omitempty"`
+}
+
+// Upstream is one row of the published list, as it was at its revision.
+type Upstream struct {
+	Name     string `cbor:"1,keyasint"`
+	Pool     string `cbor:"2,keyasint"`
+	Address  string `cbor:"3,keyasint"`
+	Domain   string `cbor:"4,keyasint,omitempty"`
+	Slots    int    `cbor:"5,keyasint,omitempty"`
+	Leaving  bool   `cbor:"6,keyasint,omitempty"`
+	Revision uint64 `cbor:"7,keyasint"`
+}
