Look at a pool once a step

Change: a view of the pool is made once a step and dropped when an upstream's row changes. An upstream that is found to be another one is logged as left.

The choice is not where the processor goes; kept since a step may look at many.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -84,6 +84,7 @@
 		held = held.WithHeard(now)
 	case event.Mistaken:
 		dispatcher.roster.Mistaken(now, row.upstream)
+		dispatcher.noteUpstream(now, row.upstream, true)
 	}
 	dispatcher.upstreams.Put(row.upstream, held)
 	if ended.Result == event.Broken {
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -39,6 +39,7 @@
 	retries    map[string]*retrywindow.Window
 	splits     map[string]*setapart.Split
 	rates      *outlier.Rates
+	views      map[string]poolView
 	ready      bool
 	listRead   bool
 	draining   bool
@@ -101,6 +102,7 @@
 		splits:      make(map[string]*setapart.Split),
 		drain:       drainrate.New(drainSpan),
 		rates:       outlier.New(),
+		views:       make(map[string]poolView),
 		answerTimes: make(map[string]time.Duration),
 	}
 }
@@ -109,6 +111,7 @@
 // or changed, and returns what the shell is to do. Now is the process's uptime.
 func (dispatcher *Dispatcher) Step(now time.Duration, inputs []event.Input) []event.Output {
 	dispatcher.outputs = nil
+	clear(dispatcher.views)
 	dispatcher.noticePause(now)
 	for _, input := range inputs {
 		dispatcher.take(now, input)
@@ -272,6 +275,7 @@
 	}
 	dispatcher.moved = true
 	dispatcher.freed = true
+	clear(dispatcher.views)
 	upstream, _ := dispatcher.roster.Find(name)
 	belief := event.Usable
 	if !dispatcher.roster.Usable(now, name) {
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -10,7 +10,6 @@
 	"endivepost/internal/policy/enginechoice"
 	"endivepost/internal/policy/prefix"
 	"endivepost/internal/policy/rendezvous"
-	"endivepost/internal/policy/setapart"
 	"endivepost/internal/wire/message"
 )
 
@@ -75,14 +74,6 @@
 	return row
 }
 
-func names(upstreams []event.Upstream) []string {
-	names := make([]string, len(upstreams))
-	for i, upstream := range upstreams {
-		names[i] = upstream.Name
-	}
-	return names
-}
-
 // choice is an upstream with the belief that spoke for it.
 type choice struct {
 	upstream event.Upstream
@@ -90,29 +81,34 @@
 }
 
 // choose returns the upstream to send the request to, if there is one. Those
-// that were tried or failed lately are taken only if there is no other.
+// that were tried, failed lately or fail often are taken only if there is no other.
 func (dispatcher *Dispatcher) choose(now time.Duration, row requestRow) (choice, bool) {
-	usable := dispatcher.roster.InPool(now, row.pool)
-	outliers := dispatcher.rates.Outliers(now, names(usable))
-	fresh := slices.DeleteFunc(slices.Clone(usable), func(upstream event.Upstream) bool {
-		return slices.Contains(row.tried, upstream.Name) || outliers[upstream.Name] || now < dispatcher.upstream(upstream.Name).avoidUntil
-	})
+	pool := dispatcher.view(now, row.pool)
+	var fresh, untried []event.Upstream
+	for _, upstream := range pool.usable {
+		if slices.Contains(row.tried, upstream.Name) {
+			continue
+		}
+		untried = append(untried, upstream)
+		if !pool.outliers[upstream.Name] && now >= dispatcher.upstream(upstream.Name).avoidUntil {
+			fresh = append(fresh, upstream)
+		}
+	}
 	if len(fresh) == 0 {
-		fresh = slices.DeleteFunc(usable, func(upstream event.Upstream) bool { return slices.Contains(row.tried, upstream.Name) })
+		fresh = untried
 	}
 	if len(fresh) == 0 {
 		return choice{}, false
 	}
-	return dispatcher.best(now, row, fresh), true
+	return dispatcher.best(row, fresh, pool.apart), true
 }
 
 // best returns the cheapest of the upstreams for the request. Engines that are
 // set apart for urgent streams are costlier for long prompts, and the others are
 // costlier for urgent streams, so that each borrows from the other only when its
 // own are full.
-func (dispatcher *Dispatcher) best(now time.Duration, row requestRow, upstreams []event.Upstream) choice {
+func (dispatcher *Dispatcher) best(row requestRow, upstreams []event.Upstream, apart map[string]bool) choice {
 	uses := dispatcher.allUses()
-	apart := dispatcher.apart(now, row.pool, uses)
 	homes := dispatcher.homes(row, upstreams, apart)
 	candidates := make([]enginechoice.Candidate, len(upstreams))
 	start := dispatcher.settings.Random.IntN(len(upstreams))
@@ -137,33 +133,6 @@
 	}}
 }
 
-// apart returns the engines of the pool that are set apart for urgent streams.
-// All entries rank the engines alike and hear of each other's streams, so they
-// agree without talking but for the last one or two.
-func (dispatcher *Dispatcher) apart(now time.Duration, pool string, uses map[string]message.Use) map[string]bool {
-	upstreams := dispatcher.roster.InPool(now, pool)
-	urgent, others := 0, 0
-	for _, upstream := range upstreams {
-		urgent += uses[upstream.Name].Urgent
-		others += uses[upstream.Name].Running - uses[upstream.Name].Urgent
-	}
-	size := dispatcher.split(pool).Size(now, setapart.Load{Urgent: urgent, Others: others, Engines: len(upstreams)})
-	apart := make(map[string]bool, size)
-	for _, name := range rendezvous.Rank([]byte(pool), names(upstreams))[:size] {
-		apart[name] = true
-	}
-	return apart
-}
-
-func (dispatcher *Dispatcher) split(pool string) *setapart.Split {
-	found, ok := dispatcher.splits[pool]
-	if !ok {
-		found = setapart.New()
-		dispatcher.splits[pool] = found
-	}
-	return found
-}
-
 // homes returns the upstreams that all entries prefer for the request's longest
 // shared prefix, the first choice first; none for a request without one.
 func (dispatcher *Dispatcher) homes(row requestRow, upstreams []event.Upstream, apart map[string]bool) []string {
--- a/internal/policy/setapart/setapart.go
+++ b/internal/policy/setapart/setapart.go
@@ -16,7 +16,6 @@
 // Load is what is in progress in the pool, by all entries.
 type Load struct {
 	Urgent  int
-	Others  int
 	Engines int
 }
 
