Make connections to a silent upstream anew

Cause: an upstream that goes dark leaves idle connections that look sound. What must not be repeated was sent on one of them and hung until its time was up, also long after repeatable work had been moved away.

Change: with the belief that an upstream is silent its idle connections go; the next request dials, is not sent if nobody answers, and goes elsewhere.

--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -288,7 +288,10 @@
 			continue
 		}
 		dispatcher.upstreams.Put(name, held.WithFailure(now))
-		dispatcher.emit(event.Believed{Belief: event.Silent, Name: name, Version: uint64(held.quietFor(now).Milliseconds())})
+		upstream, _ := dispatcher.roster.Find(name)
+		dispatcher.emit(event.Believed{
+			Belief: event.Silent, Name: name, Address: upstream.Address, Version: uint64(held.quietFor(now).Milliseconds()),
+		})
 		dispatcher.moveAll(now, name)
 	}
 }
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -160,6 +160,7 @@
 type Believed struct {
 	Belief  Belief
 	Name    string
+	Address string
 	Version uint64
 }
 
@@ -173,7 +174,7 @@
 	// Left means that it is leaving or gone. Version is the revision of its row.
 	Left
 	// Silent means that it has work and sends nothing. Version is for how long,
-	// in milliseconds.
+	// in milliseconds. Connections to it that stand idle may be as silent.
 	Silent
 )
 
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -258,6 +258,9 @@
 	case event.DocumentRejected:
 		entry.log(logevent.ConfigRejected).WithError(output.Err).Error()
 	case event.Believed:
+		if output.Belief == event.Silent {
+			entry.exchange.Drop(output.Address)
+		}
 		entry.log(beliefs[output.Belief]).WithFields(logrus.Fields{"name": output.Name, "version": output.Version}).Info()
 	case event.Ready:
 		entry.ready.Store(true)
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -141,6 +141,17 @@
 	exchange.idle[address] = append(exchange.idle[address], held)
 }
 
+// Drop closes the idle connections to the address. The next request makes a new
+// one, and so finds out whether anybody is there before it is sent.
+func (exchange *Exchange) Drop(address string) {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	for _, held := range exchange.idle[address] {
+		held.close()
+	}
+	delete(exchange.idle, address)
+}
+
 // Prune closes the connections that may no longer be used.
 func (exchange *Exchange) Prune(now time.Time) {
 	exchange.mutex.Lock()
