Swallow no error of listeners, answers and prompt fields

Cause: a reading of the code for errors without a line. A listener that ended by itself, an answer that its caller did not take, and fields of the prompt that cannot be read became nothing or a zero.

Change: listeners report their end, an answer that was not taken counts as abandoned, prompt fields that are left out are named in the log.

--- a/internal/command/verbs/stand_in.go
+++ b/internal/command/verbs/stand_in.go
@@ -105,7 +105,7 @@
 }
 
 func serveUntilDone(ctx *cli.Context, handler http.Handler) error {
-	server, err := httpserver.Listen(ctx.String("listen"), handler)
+	server, err := httpserver.Listen(ctx.String("listen"), handler, func(err error) { _, _ = fmt.Fprintf(ctx.App.ErrWriter, "stand-in: %v\n", err) })
 	if err != nil {
 		return err
 	}
--- a/internal/node/dialect/dialect.go
+++ b/internal/node/dialect/dialect.go
@@ -32,6 +32,8 @@
 	// ResumeAfter is the ID of the last event that the caller has, "" for none.
 	ResumeAfter string
 	Prompt      event.Prompt
+	// Ignored names what was left out of Prompt since it cannot be read.
+	Ignored []error
 }
 
 // Send is one attempt at an upstream.
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -40,14 +40,18 @@
 	body   []byte
 }
 
-func (held *heldAnswer) write(served *served) {
+// write gives the answer to the caller.
+func (held *heldAnswer) write(served *served) error {
 	header := served.writer.Header()
 	for name, values := range served.entry.settings.Dialect.Inbound(held.header) {
 		header[name] = values
 	}
 	header.Set("Content-Length", strconv.Itoa(len(held.body)))
 	served.writer.WriteHeader(held.status)
-	_, _ = served.writer.Write(held.body)
+	if _, err := served.writer.Write(held.body); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
 }
 
 // attempt sends the request to one upstream and passes its answer on.
@@ -155,8 +159,7 @@
 	}
 	served.begun = true
 	served.first = time.Since(served.arrived)
-	held.write(served)
-	return event.Whole, nil
+	return event.Whole, held.write(served)
 }
 
 func hold(answer *exchange.Answer) (*heldAnswer, error) {
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -164,23 +164,27 @@
 
 // listen opens all listeners and returns that for callers.
 func (entry *Entry) listen(ctx context.Context) (*httpserver.Server, error) {
-	callers, err := httpserver.Listen(entry.settings.CallerAddress, http.HandlerFunc(entry.serve))
+	callers, err := httpserver.Listen(entry.settings.CallerAddress, http.HandlerFunc(entry.serve), entry.serverFailed)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := httpserver.Listen(entry.settings.ReadyAddress, http.HandlerFunc(entry.serveReady)); err != nil {
+	if _, err := httpserver.Listen(entry.settings.ReadyAddress, http.HandlerFunc(entry.serveReady), entry.serverFailed); err != nil {
 		return nil, err
 	}
-	if _, err := httpserver.Listen(entry.settings.PeerAddress, entry.peerRoutes()); err != nil {
+	if _, err := httpserver.Listen(entry.settings.PeerAddress, entry.peerRoutes(), entry.serverFailed); err != nil {
 		return nil, err
 	}
 	if entry.settings.MetricsAddress == "" {
 		return callers, nil
 	}
-	_, err = httpserver.Listen(entry.settings.MetricsAddress, entry.operatorRoutes(ctx))
+	_, err = httpserver.Listen(entry.settings.MetricsAddress, entry.operatorRoutes(ctx), entry.serverFailed)
 	return callers, err
 }
 
+func (entry *Entry) serverFailed(err error) {
+	entry.log(logevent.ServerFailed).WithError(err).Error()
+}
+
 // drain lets the balancer go, then closes what is idle and waits for what is in
 // progress. A request that came later than that could not end within the grace.
 func (entry *Entry) drain(callers *httpserver.Server) {
--- a/internal/node/direct/observe.go
+++ b/internal/node/direct/observe.go
@@ -90,6 +90,13 @@
 	}).Info()
 }
 
+// logLeft logs that a caller did not take an answer.
+func (served *served) logLeft(err error) {
+	served.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
+		"request": served.call.ID, "attempt": 0, "upstream": "", "cause": err.Error(),
+	}).Info()
+}
+
 func (served *served) logCause(order event.Attempt, err error) {
 	served.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
 		"request": served.call.ID, "attempt": order.Number, "upstream": order.Upstream, "cause": strings.ReplaceAll(err.Error(), "\n", "; "),
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -87,7 +87,10 @@
 		return
 	}
 	// The server's bound on reading must not end a long answer.
-	_ = http.NewResponseController(writer).SetReadDeadline(time.Time{})
+	if err := http.NewResponseController(writer).SetReadDeadline(time.Time{}); err != nil {
+		entry.refuse(writer, err)
+		return
+	}
 	served.writer = writer
 	served.arrived = arrived
 	if served.resolved.Budget > 0 {
@@ -111,6 +114,9 @@
 	if err != nil {
 		return nil, refusal{status: http.StatusBadRequest, code: "bad-request", detail: err.Error()}
 	}
+	for _, ignored := range call.Ignored {
+		entry.log(logevent.FieldIgnored).WithFields(logrus.Fields{"request": call.ID, "detail": ignored.Error()}).Info()
+	}
 	version := published.Document().Version
 	class, ok := published.Class(request.Host, request.URL.EscapedPath())
 	if !ok {
@@ -258,7 +264,9 @@
 	case finish.Outcome == message.Complete || finish.Outcome == message.Incomplete:
 		return http.StatusOK
 	case finish.Outcome == message.Failed && served.held != nil:
-		served.held.write(served)
+		if err := served.held.write(served); err != nil {
+			served.logLeft(err)
+		}
 		return served.held.status
 	case finish.Outcome == message.NotRun:
 		refused.status = http.StatusServiceUnavailable
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -130,12 +130,12 @@
 	}()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	admin, err := httpserver.Listen(entry.settings.Admin, entry.adminRoutes(running))
+	admin, err := httpserver.Listen(entry.settings.Admin, entry.adminRoutes(running), entry.serverFailed)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = admin.Close() }()
-	server, err := httpserver.Listen(entry.settings.Listen, entry.callerRoutes())
+	server, err := httpserver.Listen(entry.settings.Listen, entry.callerRoutes(), entry.serverFailed)
 	if err != nil {
 		return err
 	}
@@ -160,7 +160,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
 	defer cancel()
-	_ = server.Shutdown(ctx)
+	if err := server.Shutdown(ctx); err != nil {
+		entry.log("shutdown-cut-off").WithError(err).Warn()
+	}
 	entry.closeLinks()
 	entry.log("stopped").Info()
 }
@@ -271,6 +273,10 @@
 	return id, parts
 }
 
+func (entry *Entry) serverFailed(err error) {
+	entry.log("server-failed").WithError(err).Error()
+}
+
 func (entry *Entry) log(name string) *logrus.Entry {
 	return entry.telemetry.Log.WithFields(logrus.Fields{"event": name, "process": entry.settings.Name})
 }
--- a/internal/node/httpserver/httpserver.go
+++ b/internal/node/httpserver/httpserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,8 +24,9 @@
 	maxHeaderBytes = 32 << 10
 )
 
-// Listen opens the address and serves the handler on it.
-func Listen(address string, handler http.Handler) (server *Server, err error) {
+// Listen opens the address and serves the handler on it. Failed is told if the
+// server ends by itself: then nobody is served at the address any more.
+func Listen(address string, handler http.Handler, failed func(error)) (server *Server, err error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %q: %w", address, err)
@@ -39,7 +41,11 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 	}
-	go func() { _ = server.server.Serve(listener) }()
+	go func() {
+		if err := server.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed(fmt.Errorf("serve on %q: %w", address, err))
+		}
+	}()
 	return server, nil
 }
 
--- a/internal/node/httpserver/httpserver_test.go
+++ b/internal/node/httpserver/httpserver_test.go
@@ -18,7 +18,7 @@
 			_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
 		}
 	}
-	server, err := httpserver.Listen("127.0.0.1:0", http.HandlerFunc(handler))
+	server, err := httpserver.Listen("127.0.0.1:0", http.HandlerFunc(handler), func(err error) { t.Error(err) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -10,6 +10,7 @@
 // The events, by what they are about.
 const (
 	Started          Name = "started"
+	ServerFailed     Name = "server-failed"
 	Ready            Name = "ready"
 	Reloaded         Name = "reloaded"
 	ReloadFailed     Name = "reload-failed"
@@ -31,6 +32,7 @@
 	LinkRefused      Name = "link-refused"
 	DialFailed       Name = "dial-failed"
 	RequestRefused   Name = "request-refused"
+	FieldIgnored     Name = "request-field-ignored"
 	AttemptFailed    Name = "attempt-failed"
 	AttemptEnded     Name = "attempt-ended"
 	RequestFinished  Name = "request-finished"
@@ -50,6 +52,7 @@
 // Catalogue lists every event, in the order in which a process meets them.
 var Catalogue = []Entry{
 	{Started, "the process listens", "domain, listen, peers"},
+	{ServerFailed, "a listener ended by itself; nobody is served at its address any more", "error"},
 	{Ready, "it has a configuration and a list of upstreams, and takes callers", ""},
 	{Reloaded, "SIGHUP, and the settings file was read", "peers"},
 	{ReloadFailed, "SIGHUP, and the settings file is faulty; nothing changed", "error"},
@@ -71,6 +74,7 @@
 	{LinkRefused, "a process without the shared secret or of another version called", "error"},
 	{DialFailed, "another entry cannot be reached", "peer, error"},
 	{RequestRefused, "a request went nowhere", "request, code, status, version, detail"},
+	{FieldIgnored, "a field that helps to place a request cannot be read; the request goes on without it", "request, detail"},
 	{AttemptFailed, "an attempt ended without an answer", "request, attempt, upstream, cause"},
 	{
 		AttemptEnded, "an attempt did not end a request, or ended one after others",
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -115,7 +115,7 @@
 	}()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	server, err := httpserver.Listen(sidecar.settings.Listen, sidecar.routes(running))
+	server, err := httpserver.Listen(sidecar.settings.Listen, sidecar.routes(running), sidecar.serverFailed)
 	if err != nil {
 		return err
 	}
@@ -128,6 +128,10 @@
 	return nil
 }
 
+func (sidecar *Sidecar) serverFailed(err error) {
+	sidecar.log("server-failed").WithError(err).Error()
+}
+
 func (sidecar *Sidecar) drain() {
 	sidecar.log("draining").Info()
 	sidecar.loop.Tell(event.DrainBegun{})
