--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -77,8 +77,13 @@
 const (
 	suspectBound = 4096
 	// refuseFrom is the number of upstreams that a request may crash.
-	refuseFrom         = 3
-	suspicionsPerBeat  = 32
+	refuseFrom        = 3
+	suspicionsPerBeat = 32
+	// crowd is the number of entries beyond which the few that an entry hears say
+	// too little of the load to be worth their bytes; crowdedBeats stretches the
+	// time between beats then. News still goes out at once.
+	crowd              = 24
+	crowdedBeats       = 5
 	longestIdle        = time.Second
 	forgiveAfter       = time.Second
 	listenEvery        = 100 * time.Millisecond
@@ -335,14 +340,19 @@
 	}
 	dispatcher.beatDue = now + dispatcher.settings.BeatEvery
 	dispatcher.emit(dispatcher.mesh.HangUpSilent(now)...)
-	dispatcher.emit(dispatcher.mesh.Send(message.EntryBeat{
+	beat := message.EntryBeat{
 		ConfigVersion: dispatcher.config.Version(),
 		Entries:       dispatcher.mesh.Addresses(),
-		Uses:          dispatcher.uses(),
 		Departures:    dispatcher.roster.Departures(now),
 		Suspicions:    dispatcher.suspects.Report(now, suspicionsPerBeat),
 		Leaving:       dispatcher.draining,
-	})...)
+	}
+	if dispatcher.mesh.Known() > crowd {
+		dispatcher.beatDue = now + crowdedBeats*dispatcher.settings.BeatEvery
+	} else {
+		beat.Uses = dispatcher.uses()
+	}
+	dispatcher.emit(dispatcher.mesh.Send(beat)...)
 }
 
 func (dispatcher *Dispatcher) emit(outputs ...event.Output) {
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -302,3 +302,46 @@
 		t.Errorf("%d of %d requests went to the grey upstream, %d failed", grey, requests, failed)
 	}
 }
+
+// TestCrowd: in a fleet that an entry hears a small part of, beats say nothing of
+// work in progress and come less often, and its part of the common bound on
+// retries is that of one among all.
+func TestCrowd(t *testing.T) {
+	const entries = 100
+	bench := newBench(t, 6, retrywindow.Settings{Ratio: 0, Slack: entries, Span: 10 * time.Second})
+	peer := mesh.Accepted("entry-1")
+	beat := message.EntryBeat{}
+	for i := range entries - 1 {
+		beat.Entries = append(beat.Entries, fmt.Sprintf("entry-%d", i+1))
+	}
+	bench.step(event.LinkOpened{Peer: peer, Link: 1}, event.Received{Peer: peer, Link: 1, Message: beat})
+	attempt := only[event.Attempt](t, bench.submit(readClass, 1))
+	beats := 0
+	for bench.now < 10*time.Second {
+		bench.now += 100 * time.Millisecond
+		for _, output := range bench.step(event.AttemptProgressed{ID: attempt.ID, Number: attempt.Number}) {
+			send, ok := output.(event.Send)
+			if !ok {
+				continue
+			}
+			beats++
+			if sent, ok := send.Message.(message.EntryBeat); ok && len(sent.Uses) > 0 {
+				t.Fatalf("a beat among %d entries tells of %d uses", entries, len(sent.Uses))
+			}
+		}
+	}
+	if beats > 11 {
+		t.Errorf("%d beats in ten seconds", beats)
+	}
+	retries := 0
+	for i := range uint64(20) {
+		outputs := bench.submit(readClass, 100+i)
+		again := bench.end(only[event.Attempt](t, outputs), event.Erred)
+		if _, retried := again[len(again)-1].(event.Attempt); retried {
+			retries++
+		}
+	}
+	if retries > 1 {
+		t.Errorf("%d retries of the %d that all %d entries have", retries, entries, entries)
+	}
+}
--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -285,8 +285,19 @@
 	return addresses
 }
 
-// Entries returns how many entries shared the load lately, this one included.
+// Known returns how many entries there are as far as this one has heard, itself
+// included.
+func (mesh *Mesh) Known() int {
+	return mesh.peers.Len() + 1
+}
+
+// Entries returns how many entries share a common bound: those heard from lately,
+// or in a fleet of which this one hears a part, all that it knows of.
 func (mesh *Mesh) Entries(now time.Duration) int {
+	return max(mesh.heardLately(now), mesh.Known())
+}
+
+func (mesh *Mesh) heardLately(now time.Duration) int {
 	count := 1
 	for _, address := range mesh.heard.Keys() {
 		if seen, _ := mesh.heard.Get(address); now-seen < entryMemory {
