Ask one entry at a time for its list of upstreams

Cause: an entry without a list asked every entry that it heard a beat from, with each beat.

Change: one question a second, the first one 300 ms after the start, so that the store can answer first. Test: TestOneListAtATime failed before.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -42,11 +42,13 @@
 	views      map[string]poolView
 	ready      bool
 	listRead   bool
-	draining   bool
-	drained    bool
-	moved      bool
-	freed      bool
-	total      map[string]message.Use
+	// listPullDue is when a peer may be asked for its list of upstreams.
+	listPullDue time.Duration
+	draining    bool
+	drained     bool
+	moved       bool
+	freed       bool
+	total       map[string]message.Use
 	// waitingWork is the tokens of the prompts that wait for room.
 	waitingWork float64
 	drain       *drainrate.Rate
@@ -82,10 +84,14 @@
 	// crowd is the number of entries beyond which the few that an entry hears say
 	// too little of the load to be worth their bytes; crowdedBeats stretches the
 	// time between beats then. News still goes out at once.
-	crowd              = 24
-	crowdedBeats       = 5
-	longestIdle        = time.Second
-	forgiveAfter       = time.Second
+	crowd        = 24
+	crowdedBeats = 5
+	longestIdle  = time.Second
+	forgiveAfter = time.Second
+	// firstListPull leaves the configuration service time to give its list first;
+	// listPullEvery is the time between asking one peer and another.
+	firstListPull      = 300 * time.Millisecond
+	listPullEvery      = time.Second
 	listenEvery        = 100 * time.Millisecond
 	drainMargin        = 700 * time.Millisecond
 	shortestReturn     = 200 * time.Millisecond
@@ -108,6 +114,7 @@
 		drain:       drainrate.New(drainSpan),
 		rates:       outlier.New(),
 		views:       make(map[string]poolView),
+		listPullDue: firstListPull,
 		answerTimes: make(map[string]time.Duration),
 	}
 }
@@ -267,7 +274,8 @@
 		dispatcher.noteUpstream(now, departure.Upstream, dispatcher.roster.Depart(now, departure))
 	}
 	dispatcher.emit(dispatcher.config.Heard(now, received.Peer, received.Link, beat.ConfigVersion)...)
-	if !dispatcher.listRead {
+	if !dispatcher.listRead && now >= dispatcher.listPullDue {
+		dispatcher.listPullDue = now + listPullEvery
 		dispatcher.emit(event.Send{Peer: received.Peer, Link: received.Link, Message: message.ListPull{}})
 	}
 }
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -383,3 +383,36 @@
 	}
 	t.Errorf("the stream waits: %+v", outputs)
 }
+
+// TestOneListAtATime: an entry without a list asks one of the entries that it
+// hears from, and another one only after a while: lists of large pools are long.
+func TestOneListAtATime(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	dispatcher := dispatch.New(dispatch.Settings{
+		Domain: "a", Random: random, Waiting: tiered.New[message.RequestID](tiered.Floor{}), BeatEvery: 200 * time.Millisecond,
+		Mesh: mesh.Settings{Self: "self", Fanout: 8, SilenceLimit: time.Hour, RedialAfter: time.Second, Random: random},
+	})
+	pulls := 0
+	for now := time.Duration(0); now < 3*time.Second; now += 100 * time.Millisecond {
+		for i := range 8 {
+			peer := mesh.Accepted(fmt.Sprintf("entry-%d", i))
+			inputs := []event.Input{event.Received{Peer: peer, Link: 1, Message: message.EntryBeat{}}}
+			if now == 0 {
+				inputs = append([]event.Input{event.LinkOpened{Peer: peer, Link: 1}}, inputs...)
+			}
+			for _, output := range dispatcher.Step(now, inputs) {
+				if send, ok := output.(event.Send); ok && isListPull(send.Message) {
+					pulls++
+				}
+			}
+		}
+	}
+	if pulls == 0 || pulls > 3 {
+		t.Errorf("asked %d times in three seconds", pulls)
+	}
+}
+
+func isListPull(body message.Message) bool {
+	_, ok := body.(message.ListPull)
+	return ok
+}
