Dial other entries once the chosen ones are gone; drop what nobody reads

Cause: an address that an entry did not choose to dial was looked at once and never again; after the chosen ones had gone for good it could lose its last neighbour (TestOthersAreDialledInTime: one of two addresses dialled in two minutes, never the other).

Change: it is looked at every five seconds. Besides: settings, constants and fields without a reader are gone (time to drain, slowness of a candidate, leaving in beats), and connections between entries that ended are forgotten by the shell. Ruled out: dialling all; a fleet of 950 would have a full mesh.

Tests: TestOthersAreDialledInTime failed before; TestOneConnection is new and passed.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -72,8 +72,6 @@
 	BeatEvery time.Duration
 	// WaitForUpstream is how long a request waits for an upstream to come up.
 	WaitForUpstream time.Duration
-	// DrainTime is the time from the start of a drain to the end of the process.
-	DrainTime time.Duration
 }
 
 const (
@@ -93,7 +91,6 @@
 	firstListPull      = 300 * time.Millisecond
 	listPullEvery      = time.Second
 	listenEvery        = 100 * time.Millisecond
-	drainMargin        = 700 * time.Millisecond
 	shortestReturn     = 200 * time.Millisecond
 	returnWhenDraining = 50 * time.Millisecond
 )
@@ -353,7 +350,6 @@
 		Entries:       dispatcher.mesh.Addresses(),
 		Departures:    dispatcher.roster.Departures(now),
 		Suspicions:    dispatcher.suspects.Report(now, suspicionsPerBeat),
-		Leaving:       dispatcher.draining,
 	}
 	if dispatcher.mesh.Known() > crowd {
 		dispatcher.beatDue = now + crowdedBeats*dispatcher.settings.BeatEvery
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -40,7 +40,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	made := &bench{t: t, dispatcher: dispatch.New(dispatch.Settings{
 		Domain: "a", Random: random, Waiting: tiered.New[message.RequestID](tiered.Floor{}), BeatEvery: 200 * time.Millisecond,
-		WaitForUpstream: 400 * time.Millisecond, DrainTime: time.Minute, Retries: retries,
+		WaitForUpstream: 400 * time.Millisecond, Retries: retries,
 		Mesh: mesh.Settings{Self: "self", Fanout: 4, SilenceLimit: time.Hour, RedialAfter: time.Second, Random: random},
 	})}
 	raw, err := json.Marshal(document.Document{
--- a/internal/core/dispatch/replay_test.go
+++ b/internal/core/dispatch/replay_test.go
@@ -156,7 +156,7 @@
 	random := rand.New(rand.NewPCG(replay.load.seed, uint64(number)))
 	entry := dispatch.New(dispatch.Settings{
 		Domain: "a", Random: random, Waiting: tiered.New[message.RequestID](tiered.Floor{Wait: time.Second, Every: 6}),
-		BeatEvery: 200 * time.Millisecond, WaitForUpstream: time.Second, DrainTime: time.Minute,
+		BeatEvery: 200 * time.Millisecond, WaitForUpstream: time.Second,
 		Mesh: mesh.Settings{
 			Self: address(number), Fanout: replay.load.entries, SilenceLimit: time.Hour, RedialAfter: time.Second, Random: random,
 		},
--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -53,6 +53,9 @@
 	dialPrefix    = "dial:"
 	acceptPrefix  = "accept:"
 	mostDoublings = 4
+	// lookAgainEvery is the time between two looks at an entry that need not be
+	// dialled: it may be chosen once others are gone.
+	lookAgainEvery = 5 * time.Second
 	// peerMemory is how long an address that nobody answers at is dialled.
 	peerMemory = 30 * time.Second
 	// entryMemory is how long an entry counts among the entries after its last
@@ -105,9 +108,18 @@
 // Dial returns the connections to be opened now.
 func (mesh *Mesh) Dial(now time.Duration) []event.Output {
 	var outputs []event.Output
-	for _, address := range mesh.dialDue.PopDue(now) {
+	due := mesh.dialDue.PopDue(now)
+	if len(due) == 0 {
+		return nil
+	}
+	chosen := mesh.chosen()
+	for _, address := range due {
 		peer, known := mesh.peers.Get(address)
-		if !known || peer.dialing || mesh.connected(address) || !mesh.chosen(address) {
+		if !known || peer.dialing {
+			continue
+		}
+		if !chosen[address] || mesh.connected(address) {
+			mesh.dialDue.Set(address, now+lookAgainEvery)
 			continue
 		}
 		if now-peer.seen > peerMemory && peer.failures > mostDoublings {
@@ -122,19 +134,14 @@
 	return outputs
 }
 
-// chosen says whether this entry dials the address: in a large fleet each entry
+// chosen returns the addresses that this entry dials: in a large fleet each entry
 // dials a bounded part of the others, and news goes round through them.
-func (mesh *Mesh) chosen(address string) bool {
-	addresses := mesh.peers.Keys()
-	if len(addresses) <= mesh.settings.Fanout {
-		return true
+func (mesh *Mesh) chosen() map[string]bool {
+	chosen := make(map[string]bool, mesh.settings.Fanout)
+	for _, address := range subset.Choose(mesh.settings.Self, mesh.peers.Keys(), mesh.settings.Fanout) {
+		chosen[address] = true
 	}
-	for _, name := range subset.Choose(mesh.settings.Self, addresses, mesh.settings.Fanout) {
-		if name == address {
-			return true
-		}
-	}
-	return false
+	return chosen
 }
 
 func (mesh *Mesh) connected(address string) bool {
--- /dev/null
+++ b/internal/core/mesh/mesh_test.go
@@ -0,0 +1,65 @@
+package mesh_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/core/mesh"
+)
+
+func newMesh(self string, fanout int) *mesh.Mesh {
+	return mesh.New(mesh.Settings{
+		Self: self, Fanout: fanout, SilenceLimit: 2 * time.Second, RedialAfter: 300 * time.Millisecond, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+}
+
+// TestOthersAreDialledInTime: once the chosen entries are gone for good, others
+// that were known all the while are dialled.
+func TestOthersAreDialledInTime(t *testing.T) {
+	kept := newMesh("self", 1)
+	kept.Find(0, "a")
+	kept.Find(0, "b")
+	dialled := make(map[string]int)
+	for now := time.Duration(0); now < 2*time.Minute; now += 100 * time.Millisecond {
+		for _, output := range kept.Dial(now) {
+			dial, ok := output.(event.Dial)
+			if !ok {
+				continue
+			}
+			dialled[dial.Address]++
+			kept.Close(now, event.LinkClosed{Peer: dial.Peer, Link: dial.Link})
+		}
+	}
+	if dialled["a"] == 0 || dialled["b"] == 0 {
+		t.Errorf("dialled %v", dialled)
+	}
+}
+
+// TestOneConnection: two entries that dial each other at once keep the same one
+// of the two connections.
+func TestOneConnection(t *testing.T) {
+	lower, higher := newMesh("a", 4), newMesh("b", 4)
+	lower.Find(0, "b")
+	higher.Find(0, "a")
+	fromLower, _ := lower.Dial(0)[0].(event.Dial)
+	fromHigher, _ := higher.Dial(0)[0].(event.Dial)
+	for _, order := range []bool{true, false} {
+		open := func(kept *mesh.Mesh, first, second event.LinkOpened) {
+			if !order {
+				first, second = second, first
+			}
+			kept.Open(0, first)
+			kept.Open(0, second)
+		}
+		open(lower, event.LinkOpened{Peer: fromLower.Peer, Link: fromLower.Link}, event.LinkOpened{Peer: mesh.Accepted("b"), Link: 9})
+		open(higher, event.LinkOpened{Peer: fromHigher.Peer, Link: fromHigher.Link}, event.LinkOpened{Peer: mesh.Accepted("a"), Link: 9})
+		if got := lower.Send(nil); len(got) != 1 || got[0] != (event.Send{Peer: fromLower.Peer, Link: fromLower.Link}) {
+			t.Errorf("the lower one keeps %+v", got)
+		}
+		if got := higher.Send(nil); len(got) != 1 || got[0] != (event.Send{Peer: mesh.Accepted("a"), Link: 9}) {
+			t.Errorf("the higher one keeps %+v", got)
+		}
+	}
+}
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -123,7 +123,6 @@
 		Waiting:         tiered.New[message.RequestID](tiered.Floor{Wait: floorWait, Every: floorEvery}),
 		BeatEvery:       beatEvery,
 		WaitForUpstream: waitForUpstream,
-		DrainTime:       settings.Grace - exitMargin,
 	})
 	entry.loop = loop.New(entry.dispatcher, time.Now(), entry.perform)
 	return entry
--- a/internal/node/direct/links.go
+++ b/internal/node/direct/links.go
@@ -53,6 +53,7 @@
 		entry.loop.Tell(event.Received{Peer: peer, Link: number, Message: body})
 	})
 	entry.loop.Tell(event.LinkClosed{Peer: peer, Link: number})
+	entry.forgetLink(peer, number)
 	entry.log(logevent.LinkClosed).WithField("peer", peer).WithError(err).Info()
 }
 
@@ -63,6 +64,14 @@
 	return held.link, ok && held.number == number
 }
 
+func (entry *Entry) forgetLink(peer string, number uint64) {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	if held, ok := entry.links[peer]; ok && held.number == number {
+		delete(entry.links, peer)
+	}
+}
+
 func (entry *Entry) closeLinks() {
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
--- a/internal/policy/enginechoice/enginechoice.go
+++ b/internal/policy/enginechoice/enginechoice.go
@@ -15,8 +15,6 @@
 	Urgent int
 	// Unread counts the tokens of the request's own prompt that are not kept there.
 	Unread int
-	// Slowness is the engine's measured time against that of its peers; 1 is usual.
-	Slowness float64
 	// Apart says that the engine is set apart for urgent streams.
 	Apart bool
 	// Far says that the engine is in another failure domain.
@@ -87,9 +85,6 @@
 	if candidate.Batch > 0 && candidate.Running >= candidate.Batch {
 		cost += fullCost * float64(candidate.Running-candidate.Batch+1) / float64(candidate.Batch)
 	}
-	if candidate.Slowness > 0 {
-		cost *= candidate.Slowness
-	}
 	if candidate.Far {
 		cost += farCost
 	}
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -8,7 +8,6 @@
 	Uses          []Use       `cbor:"3,keyasint,omitempty"`
 	Departures    []Departure `cbor:"4,keyasint,omitempty"`
 	Suspicions    []Suspicion `cbor:"5,keyasint,omitempty"`
-	Leaving       bool        `cbor:"6,keyasint,omitempty"`
 }
 
 // Use is one entry's work in progress at one upstream.
