Count the readings of the settings file, and let the case wait for them

Traced by its output: the second SIGHUP was sent before the process had acted on the first, and the file had been replaced by then; the two signals became one reading of the faulty file. A race of the case, not of the process.

Change: a counter of readings by result, which the case awaits before it goes on; the check of the log lines stays as it was. Ruled out: a lost signal; one reading took place, of the file as it was.

--- a/cmd/endivepost/main_test.go
+++ b/cmd/endivepost/main_test.go
@@ -85,7 +85,8 @@
 // that no other case and no outgoing connection takes a reserved port meanwhile.
 var lastAddress atomic.Uint32
 
-// reservePorts sets each variable to the address of a free port.
+// reservePorts sets each variable to the address of a free port, and NAME_PORT to
+// its port alone.
 func reservePorts(ts *testscript.TestScript, _ bool, names []string) {
 	host := fmt.Sprintf("127.1.%d.1:0", lastAddress.Add(1))
 	var listeners []net.Listener
@@ -93,7 +94,11 @@
 		listener, err := net.Listen("tcp", host)
 		ts.Check(err)
 		listeners = append(listeners, listener)
-		ts.Setenv(name, listener.Addr().String())
+		address := listener.Addr().String()
+		_, port, err := net.SplitHostPort(address)
+		ts.Check(err)
+		ts.Setenv(name, address)
+		ts.Setenv(name+"_PORT", port)
 	}
 	for _, listener := range listeners {
 		ts.Check(listener.Close())
--- a/internal/command/verbs/platform_entry.go
+++ b/internal/command/verbs/platform_entry.go
@@ -95,6 +95,7 @@
 		case <-hangups:
 		}
 		read, err := platform.ReadSettings(ctx.String("settings"))
+		observe.Metrics.Tagged(map[string]string{"result": reloadResult(err)}).Counter("reloads").Inc(1)
 		if err != nil {
 			observe.Log.WithField("event", string(logevent.ReloadFailed)).WithError(err).Error()
 			continue
@@ -104,6 +105,13 @@
 	}
 }
 
+func reloadResult(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "read"
+}
+
 func metricsAddress(read platform.Settings, port int) (string, error) {
 	if port == 0 {
 		return "", nil
