Forget upstreams that are gone, and take no prompt for less than nothing

(1) Rows of upstreams that were replaced stayed for ever: 50 of 50 in the test.

Change: with each beat the rows go that the list no longer has and that have nothing in progress; unread tokens are never below nothing.

Tests: TestGoneUpstreamsAreForgotten and TestPromptWithoutSize failed before.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -173,6 +173,11 @@
 	return upstreams, dispatcher.mesh.Entries(now)
 }
 
+// KnownUpstreams returns how many upstreams anything is kept of.
+func (dispatcher *Dispatcher) KnownUpstreams() int {
+	return dispatcher.upstreams.Len()
+}
+
 // Peers returns the addresses of the entries that are connected.
 func (dispatcher *Dispatcher) Peers() []string {
 	return dispatcher.mesh.Addresses()[1:]
@@ -227,56 +232,6 @@
 	}
 }
 
-func (dispatcher *Dispatcher) receive(now time.Duration, received event.Received) {
-	switch body := received.Message.(type) {
-	case message.EntryBeat:
-		if dispatcher.mesh.Heard(now, received.Peer, received.Link, body) {
-			dispatcher.usesChanged()
-			dispatcher.takeBeat(now, received, body)
-		}
-	case message.ConfigPull:
-		if dispatcher.mesh.Touch(now, received.Peer, received.Link) {
-			dispatcher.emit(dispatcher.config.Answer(received.Peer, received.Link, body)...)
-		}
-	case message.Config:
-		if dispatcher.mesh.Touch(now, received.Peer, received.Link) {
-			dispatcher.putInForce(now, dispatcher.config.Take(body))
-		}
-	case message.ListPull:
-		if dispatcher.listRead {
-			dispatcher.emit(event.Send{Peer: received.Peer, Link: received.Link, Message: message.UpstreamList{Upstreams: dispatcher.roster.Rows()}})
-		}
-	case message.UpstreamList:
-		dispatcher.takeList(now, body)
-	}
-}
-
-// takeList takes the upstreams that another entry knows of, while the published
-// list cannot be read. What is published later overrides it row by row.
-func (dispatcher *Dispatcher) takeList(now time.Duration, list message.UpstreamList) {
-	if dispatcher.listRead || len(list.Upstreams) == 0 {
-		return
-	}
-	dispatcher.listRead = true
-	for _, upstream := range list.Upstreams {
-		dispatcher.noteUpstream(now, upstream.Name, dispatcher.roster.List(now, upstream))
-	}
-}
-
-func (dispatcher *Dispatcher) takeBeat(now time.Duration, received event.Received, beat message.EntryBeat) {
-	for _, suspicion := range beat.Suspicions {
-		dispatcher.suspects.Merge(now, suspicion)
-	}
-	for _, departure := range beat.Departures {
-		dispatcher.noteUpstream(now, departure.Upstream, dispatcher.roster.Depart(now, departure))
-	}
-	dispatcher.emit(dispatcher.config.Heard(now, received.Peer, received.Link, beat.ConfigVersion)...)
-	if !dispatcher.listRead && now >= dispatcher.listPullDue {
-		dispatcher.listPullDue = now + listPullEvery
-		dispatcher.emit(event.Send{Peer: received.Peer, Link: received.Link, Message: message.ListPull{}})
-	}
-}
-
 // noteUpstream reports a change of an upstream's row for the log, and looks at
 // the requests that wait for one.
 func (dispatcher *Dispatcher) noteUpstream(now time.Duration, name string, changed bool) {
@@ -338,27 +293,6 @@
 	}
 }
 
-// beat tells the other entries what they need to know, and hangs up silent ones.
-func (dispatcher *Dispatcher) beat(now time.Duration) {
-	if now < dispatcher.beatDue {
-		return
-	}
-	dispatcher.beatDue = now + dispatcher.settings.BeatEvery
-	dispatcher.emit(dispatcher.mesh.HangUpSilent(now)...)
-	beat := message.EntryBeat{
-		ConfigVersion: dispatcher.config.Version(),
-		Entries:       dispatcher.mesh.Addresses(),
-		Departures:    dispatcher.roster.Departures(now),
-		Suspicions:    dispatcher.suspects.Report(now, suspicionsPerBeat),
-	}
-	if dispatcher.mesh.Known() > crowd {
-		dispatcher.beatDue = now + crowdedBeats*dispatcher.settings.BeatEvery
-	} else {
-		beat.Uses = dispatcher.uses()
-	}
-	dispatcher.emit(dispatcher.mesh.Send(beat)...)
-}
-
 func (dispatcher *Dispatcher) emit(outputs ...event.Output) {
 	dispatcher.outputs = append(dispatcher.outputs, outputs...)
 }
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -416,3 +416,36 @@
 	_, ok := body.(message.ListPull)
 	return ok
 }
+
+// TestPromptWithoutSize: a prompt whose parts are told and whose size is not
+// counts as nothing to read, not as less than nothing.
+func TestPromptWithoutSize(t *testing.T) {
+	bench := newBench(t, 1, manyRetries)
+	prompt := event.Prompt{Parts: []event.PromptPart{{ID: 1, Tokens: 9000}, {ID: 2, Tokens: 500}}}
+	for sequence := range uint64(3) {
+		attempt := only[event.Attempt](t, bench.step(event.Submitted{Request: event.Request{
+			ID: message.NewRequestID(8, sequence+1), Class: readClass, Tier: 1, Fingerprint: sequence, Budget: time.Second, Prompt: prompt,
+		}}))
+		if attempt.View.Unread < 0 || attempt.View.Reading < 0 {
+			t.Fatalf("unread %d, reading %d", attempt.View.Unread, attempt.View.Reading)
+		}
+	}
+}
+
+// TestGoneUpstreamsAreForgotten: what is known of upstreams that are gone does
+// not stay, or an entry that runs for months would grow.
+func TestGoneUpstreamsAreForgotten(t *testing.T) {
+	bench := newBench(t, 0, manyRetries)
+	const generations = 50
+	for generation := range uint64(generations) {
+		name := fmt.Sprintf("u-%d", generation)
+		bench.step(event.UpstreamListed{Upstream: event.Upstream{Name: name, Pool: "pool", Address: name, Revision: 2*generation + 2}})
+		bench.end(only[event.Attempt](t, bench.submit(readClass, generation)), event.Whole)
+		bench.step(event.UpstreamGone{Name: name, Revision: 2*generation + 3})
+		bench.now += time.Minute
+		bench.step()
+	}
+	if known := bench.dispatcher.KnownUpstreams(); known > 5 {
+		t.Errorf("%d of %d upstreams are known still", known, generations)
+	}
+}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -149,7 +149,7 @@
 	row.queued = false
 	row.answered = false
 	row.upstream = upstream.Name
-	row.reading = row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, nil)
+	row.reading = dispatcher.unread(row, upstream.Name, nil)
 	dispatcher.occupy(now, row)
 	dispatcher.requestDue.Remove(row.request.ID)
 	dispatcher.requests.Put(row.request.ID, row)
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -125,7 +125,7 @@
 			Batch:   upstream.Slots,
 			Reading: use.Reading,
 			Urgent:  use.Urgent,
-			Unread:  row.request.Prompt.Tokens - dispatcher.held(row, upstream.Name, homes),
+			Unread:  dispatcher.unread(row, upstream.Name, homes),
 			Apart:   apart[upstream.Name],
 			Far:     upstream.Domain != dispatcher.settings.Domain,
 		}
@@ -156,6 +156,12 @@
 	return ranked[:min(len(ranked), mostHomes)]
 }
 
+// unread returns how many tokens of the prompt the upstream has to read. A caller
+// may tell the parts of a prompt and not its size.
+func (dispatcher *Dispatcher) unread(row requestRow, name string, homes []string) int {
+	return max(row.request.Prompt.Tokens-dispatcher.held(row, name, homes), 0)
+}
+
 // held returns how many tokens of the prompt the upstream need not read.
 func (dispatcher *Dispatcher) held(row requestRow, name string, homes []string) int {
 	prompt := row.request.Prompt
@@ -264,6 +270,17 @@
 	dispatcher.usesChanged()
 }
 
+// forgetGone drops what is known of upstreams that the list no longer has.
+func (dispatcher *Dispatcher) forgetGone() {
+	for _, name := range dispatcher.upstreams.Keys() {
+		held, _ := dispatcher.upstreams.Get(name)
+		if _, listed := dispatcher.roster.Find(name); !listed && held.use.Running == 0 {
+			dispatcher.upstreams.Delete(name)
+			dispatcher.total = nil
+		}
+	}
+}
+
 // quietFor returns for how long the upstream has had work and sent nothing.
 func (row upstreamRow) quietFor(now time.Duration) time.Duration {
 	if row.use.Running == 0 {
