Pass on only the suspicions that an entry saw itself

Cause: found by following one request through. An entry put suspicions that it heard of into the table that it reports from.

Change: what was seen and what was heard of stand apart; a new crash counts on top of the higher of the two, and only what was seen is reported. Ruled out: adding both counts; two entries that heard of each other would count one crash twice.

Test: TestHeardSuspicionsAreNotPassedOn failed before (both were passed on).

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -48,7 +48,8 @@
 	dispatcher.judgeUpstream(now, row, ended)
 	switch ended.Result {
 	case event.Whole:
-		dispatcher.suspects.Clear(row.request.Fingerprint)
+		dispatcher.seen.Clear(row.request.Fingerprint)
+		dispatcher.heard.Clear(row.request.Fingerprint)
 		dispatcher.measure(now, row)
 		dispatcher.finish(now, row, message.Complete, message.NoReason)
 	case event.Unreached:
@@ -88,7 +89,8 @@
 	}
 	dispatcher.upstreams.Put(row.upstream, held)
 	if ended.Result == event.Broken {
-		dispatcher.suspects.Blame(now, row.request.Fingerprint)
+		crashes, _ := dispatcher.crashes(now, row)
+		dispatcher.seen.Raise(now, row.request.Fingerprint, crashes+1)
 	}
 }
 
@@ -103,8 +105,19 @@
 	}
 }
 
+// crashes returns how many upstreams the request is blamed for, as seen here or
+// heard of, and how long that still lasts.
+func (dispatcher *Dispatcher) crashes(now time.Duration, row requestRow) (int, time.Duration) {
+	seen, seenFor := dispatcher.seen.Crashes(now, row.request.Fingerprint)
+	heard, heardFor := dispatcher.heard.Crashes(now, row.request.Fingerprint)
+	if heard > seen {
+		return heard, heardFor
+	}
+	return seen, seenFor
+}
+
 func (dispatcher *Dispatcher) suspected(now time.Duration, row requestRow) bool {
-	crashes, _ := dispatcher.suspects.Crashes(now, row.request.Fingerprint)
+	crashes, _ := dispatcher.crashes(now, row)
 	return crashes >= refuseFrom
 }
 
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -35,13 +35,16 @@
 	upstreams  *table.Table[string, upstreamRow]
 	requests   *table.Table[message.RequestID, requestRow]
 	requestDue *agenda.Agenda[message.RequestID]
-	suspects   *suspects.Table
-	retries    map[string]*retrywindow.Window
-	splits     map[string]*setapart.Split
-	rates      *outlier.Rates
-	views      map[string]poolView
-	ready      bool
-	listRead   bool
+	// seen are the suspicions that this entry saw itself and passes on, heard those
+	// that others told it of.
+	seen     *suspects.Table
+	heard    *suspects.Table
+	retries  map[string]*retrywindow.Window
+	splits   map[string]*setapart.Split
+	rates    *outlier.Rates
+	views    map[string]poolView
+	ready    bool
+	listRead bool
 	// listPullDue is when a peer may be asked for its list of upstreams.
 	listPullDue time.Duration
 	draining    bool
@@ -107,7 +110,8 @@
 		upstreams:   table.New[string, upstreamRow](),
 		requests:    table.New[message.RequestID, requestRow](),
 		requestDue:  agenda.New[message.RequestID](),
-		suspects:    suspects.New(suspectBound),
+		seen:        suspects.New(suspectBound),
+		heard:       suspects.New(suspectBound),
 		retries:     make(map[string]*retrywindow.Window),
 		splits:      make(map[string]*setapart.Split),
 		drain:       drainrate.New(drainSpan),
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -508,3 +508,26 @@
 		t.Errorf("%d choices in a second", source.draws)
 	}
 }
+
+// TestHeardSuspicionsAreNotPassedOn: an entry tells others of suspicions that it
+// saw itself. One that it only heard of would go round, and come back after the
+// request has completed.
+func TestHeardSuspicionsAreNotPassedOn(t *testing.T) {
+	bench := newBench(t, 4, manyRetries)
+	peer := mesh.Accepted("other")
+	const heard, seen = 77, 78
+	bench.step(event.LinkOpened{Peer: peer, Link: 1}, event.Received{Peer: peer, Link: 1, Message: message.EntryBeat{
+		Suspicions: []message.Suspicion{
+			{Fingerprint: heard, Crashes: 2, Remaining: time.Minute}, {Fingerprint: seen, Crashes: 2, Remaining: time.Minute},
+		},
+	}})
+	bench.end(only[event.Attempt](t, bench.submit(holdClass, seen)), event.Broken)
+	bench.now += time.Second
+	beat, _ := only[event.Send](t, bench.step()).Message.(message.EntryBeat)
+	if len(beat.Suspicions) != 1 || beat.Suspicions[0].Fingerprint != seen || beat.Suspicions[0].Crashes != 3 {
+		t.Errorf("told of %+v", beat.Suspicions)
+	}
+	if finish := only[event.Finish](t, bench.submit(readClass, seen)); finish.Reason != message.Suspect {
+		t.Errorf("a request that crashed three upstreams ended with %v", finish.Reason)
+	}
+}
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -45,7 +45,7 @@
 
 func (dispatcher *Dispatcher) takeBeat(now time.Duration, received event.Received, beat message.EntryBeat) {
 	for _, suspicion := range beat.Suspicions {
-		dispatcher.suspects.Merge(now, suspicion)
+		dispatcher.heard.Merge(now, suspicion)
 	}
 	for _, departure := range beat.Departures {
 		dispatcher.noteUpstream(now, departure.Upstream, dispatcher.roster.Depart(now, departure))
@@ -69,7 +69,7 @@
 		ConfigVersion: dispatcher.config.Version(),
 		Entries:       dispatcher.mesh.Addresses(),
 		Departures:    dispatcher.roster.Departures(now),
-		Suspicions:    dispatcher.suspects.Report(now, suspicionsPerBeat),
+		Suspicions:    dispatcher.seen.Report(now, suspicionsPerBeat),
 	}
 	if dispatcher.mesh.Known() > crowd {
 		dispatcher.beatDue = now + crowdedBeats*dispatcher.settings.BeatEvery
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -97,7 +97,7 @@
 // unwelcome returns why the request is refused at once, if so, and when the
 // caller may come back.
 func (dispatcher *Dispatcher) unwelcome(now time.Duration, row requestRow) (message.Reason, time.Duration) {
-	if crashes, remaining := dispatcher.suspects.Crashes(now, row.request.Fingerprint); crashes >= refuseFrom {
+	if crashes, remaining := dispatcher.crashes(now, row); crashes >= refuseFrom {
 		return message.Suspect, remaining
 	}
 	return message.NoReason, 0
