--- a/internal/standin/batch/batch.go
+++ b/internal/standin/batch/batch.go
@@ -1,6 +1,7 @@
 // Package batch is a stand-in of a model engine that batches continuously, in
 // virtual time: prompts are read in chunks between the tokens of all that runs,
-// and prompt prefixes are kept in the memory that running requests leave.
+// and prompt prefixes are kept in the memory that running requests leave. The tier
+// of a request decides when it is admitted; prompts are read as admitted.
 package batch
 
 import (
@@ -152,14 +153,10 @@
 	held.unread = max(prompt.Tokens-kept, 1)
 	engine.counts.Read += held.unread
 	engine.kept.Add(prompt)
-	place := len(engine.running)
-	for place > 0 && engine.running[place-1].job.Tier > held.job.Tier {
-		place--
-	}
-	engine.running = slices.Insert(engine.running, place, held)
+	engine.running = append(engine.running, held)
 }
 
-// read takes the next chunk of the prompts, the most urgent ones first.
+// read takes the next chunk of the prompts, in the order of their admission.
 func (engine *Engine) read() time.Duration {
 	left := engine.settings.Chunk
 	var took time.Duration
