Tell the other entries where a prefix is read, and read new ones where least waits

Cause: a prefix that nobody has read went to its home by hash, taken to keep nine tenths of it.

Now an entry tells the others when it has a prefix of 1,000 tokens or more read at an upstream, with a beat so that the reading is known too, and an entry that starts or comes back asks one peer for all of them. Hash homes stay for short prefixes and for crowds.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -47,10 +47,12 @@
 	listRead bool
 	// listPullDue is when a peer may be asked for its list of upstreams.
 	listPullDue time.Duration
-	draining    bool
-	drained     bool
-	moved       bool
-	freed       bool
+	// placementsPullDue is when a peer may be asked for the placements it knows of.
+	placementsPullDue time.Duration
+	draining          bool
+	drained           bool
+	moved             bool
+	freed             bool
 	// admitDue is when waiting requests may be looked at again.
 	admitDue time.Duration
 	total    map[string]message.Use
@@ -234,6 +236,7 @@
 	case event.LinkOpened:
 		dispatcher.emit(dispatcher.mesh.Open(now, input)...)
 		dispatcher.beatDue = min(dispatcher.beatDue, now)
+		dispatcher.pullPlacements(now, input)
 	case event.LinkClosed:
 		dispatcher.mesh.Close(now, input)
 	case event.Received:
@@ -255,6 +258,7 @@
 	if !dispatcher.roster.Usable(now, name) {
 		belief = event.Left
 		dispatcher.rates.Forget(name)
+		dispatcher.forgetKept(name)
 	}
 	dispatcher.emit(event.Believed{Belief: belief, Name: name, Version: upstream.Revision})
 	dispatcher.beatDue = min(dispatcher.beatDue, now)
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -28,6 +28,10 @@
 		}
 	case message.UpstreamList:
 		dispatcher.takeList(now, body)
+	case message.PlacementsPull:
+		dispatcher.emit(event.Send{Peer: received.Peer, Link: received.Link, Message: dispatcher.placements()})
+	case message.Placements:
+		dispatcher.takePlacements(body)
 	}
 }
 
--- /dev/null
+++ b/internal/core/dispatch/placements.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"time"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/wire/message"
+)
+
+const (
+	// announceFrom is the least length, in tokens, of a prefix that entries tell
+	// each other about: to read a shorter one twice costs less than the message.
+	announceFrom = 1000
+	// mostTold bounds the parts of one upstream in the answer to a pull.
+	mostTold = 128
+	// placementsPullEvery is the time between asking one peer and another.
+	placementsPullEvery = time.Second
+)
+
+// announces says whether entries tell each other where the prompt's prefix is
+// kept. In a crowd an entry hears too few of the others for that.
+func (dispatcher *Dispatcher) announces(prompt event.Prompt) bool {
+	return dispatcher.mesh.Known() <= crowd && tokens(prompt.Shared()) >= announceFrom
+}
+
+func tokens(parts []message.PromptPart) int {
+	sum := 0
+	for _, part := range parts {
+		sum += part.Tokens
+	}
+	return sum
+}
+
+// announce tells the other entries that the request's prefix is read at its
+// upstream, unless it was known to be kept there. It answers the load in which
+// many prefixes are new at once: each is read at the engine that has least to
+// read, and every entry finds it there afterwards. The reading itself goes out
+// with a beat, so that the next new prefix does not go there too.
+func (dispatcher *Dispatcher) announce(now time.Duration, row requestRow, held upstreamRow) {
+	shared := row.request.Prompt.Shared()
+	if !dispatcher.announces(row.request.Prompt) || held.kept != nil && held.kept.Held(shared) == tokens(shared) {
+		return
+	}
+	placement := message.Placement{Upstream: row.upstream, Parts: shared}
+	dispatcher.emit(dispatcher.mesh.Send(message.Placements{Placements: []message.Placement{placement}})...)
+	dispatcher.beatDue = min(dispatcher.beatDue, now)
+}
+
+// takePlacements records what other entries had read at upstreams that are listed.
+func (dispatcher *Dispatcher) takePlacements(body message.Placements) {
+	for _, placement := range body.Placements {
+		upstream, listed := dispatcher.roster.Find(placement.Upstream)
+		if !listed {
+			continue
+		}
+		held := dispatcher.upstream(placement.Upstream).WithMemory(dispatcher.cacheTokens(upstream.Pool))
+		held.kept.AddShared(placement.Parts)
+		dispatcher.upstreams.Put(placement.Upstream, held)
+	}
+}
+
+// pullPlacements asks the entry at the other end of a new connection for what it
+// knows: this entry has just started, or has missed news.
+func (dispatcher *Dispatcher) pullPlacements(now time.Duration, opened event.LinkOpened) {
+	if now < dispatcher.placementsPullDue || dispatcher.mesh.Known() > crowd {
+		return
+	}
+	dispatcher.placementsPullDue = now + placementsPullEvery
+	dispatcher.emit(event.Send{Peer: opened.Peer, Link: opened.Link, Message: message.PlacementsPull{}})
+}
+
+// placements returns all that is known, for a peer.
+func (dispatcher *Dispatcher) placements() message.Placements {
+	var body message.Placements
+	for _, name := range dispatcher.upstreams.Keys() {
+		held, _ := dispatcher.upstreams.Get(name)
+		if held.kept == nil {
+			continue
+		}
+		if shared := held.kept.Shared(mostTold); len(shared) > 0 {
+			body.Placements = append(body.Placements, message.Placement{Upstream: name, Parts: shared})
+		}
+	}
+	return body
+}
+
+// forgetKept forgets what an upstream kept that left: if it comes back under its
+// name, it has read nothing.
+func (dispatcher *Dispatcher) forgetKept(name string) {
+	if held, known := dispatcher.upstreams.Get(name); known {
+		held.kept = nil
+		dispatcher.upstreams.Put(name, held)
+	}
+}
--- /dev/null
+++ b/internal/core/dispatch/placements_test.go
@@ -0,0 +1,115 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/core/mesh"
+	"endivepost/internal/wire/message"
+)
+
+// brief returns a request with the long prefix, and a last part of its own.
+func (bench *bench) brief(prefix uint64) event.Input {
+	bench.sequence++
+	return event.Submitted{Request: event.Request{
+		ID: message.NewRequestID(2, bench.sequence), Class: readClass, Tier: 1, Fingerprint: bench.sequence, Budget: 2 * time.Second,
+		Prompt: event.Prompt{Tokens: 16_000, Parts: []event.PromptPart{{ID: prefix, Tokens: 13_000}, {ID: 1<<20 + bench.sequence, Tokens: 3000}}},
+	}}
+}
+
+// sent returns the messages of one type among the outputs.
+func sent[M message.Message](outputs []event.Output) []M {
+	var found []M
+	for _, output := range outputs {
+		send, _ := output.(event.Send)
+		if body, ok := send.Message.(M); ok {
+			found = append(found, body)
+		}
+	}
+	return found
+}
+
+var peer = mesh.Accepted("other")
+
+// TestNewPrefixesAreSpread: prefixes that nobody has read go to the engines that
+// have least to read, one each, and not to a home that chance gives several.
+func TestNewPrefixesAreSpread(t *testing.T) {
+	const engines = 12
+	bench := newBench(t, engines, manyRetries)
+	given := make(map[string]int)
+	for prefix := range uint64(engines) {
+		given[only[event.Attempt](t, bench.step(bench.brief(prefix+1))).Upstream]++
+	}
+	if len(given) != engines {
+		t.Errorf("%d engines read %d new prefixes: %v", len(given), engines, given)
+	}
+}
+
+// TestPlacementsAreTold: an entry tells the others of a prefix once, and sends
+// requests to where another entry had their prefix read.
+func TestPlacementsAreTold(t *testing.T) {
+	bench := newBench(t, 6, manyRetries)
+	bench.step(event.LinkOpened{Peer: peer, Link: 1})
+	outputs := bench.step(bench.brief(1))
+	chosen := only[event.Attempt](t, outputs).Upstream
+	told := sent[message.Placements](outputs)
+	if len(told) != 1 || told[0].Placements[0].Upstream != chosen || told[0].Placements[0].Parts[0].ID != 1 {
+		t.Fatalf("told %+v, want the first part at %s", told, chosen)
+	}
+	if again := sent[message.Placements](bench.step(bench.brief(1))); len(again) != 0 {
+		t.Errorf("told again: %+v", again)
+	}
+	for prefix, name := range map[uint64]string{7: "u-2", 8: "u-5", 9: "u-0"} {
+		news := message.Placements{Placements: []message.Placement{{Upstream: name, Parts: []message.PromptPart{{ID: prefix, Tokens: 13_000}}}}}
+		bench.step(event.Received{Peer: peer, Link: 1, Message: news})
+		if got := only[event.Attempt](t, bench.step(bench.brief(prefix))); got.Upstream != name || got.View.Unread != 3000 {
+			t.Errorf("sent to %s with %d tokens to read, want %s and 3000", got.Upstream, got.View.Unread, name)
+		}
+	}
+}
+
+// TestPlacementsOfUnknownUpstreams are left alone.
+func TestPlacementsOfUnknownUpstreams(t *testing.T) {
+	bench := newBench(t, 1, manyRetries)
+	bench.step(event.LinkOpened{Peer: peer, Link: 1})
+	known := bench.dispatcher.KnownUpstreams()
+	news := message.Placements{Placements: []message.Placement{{Upstream: "nowhere", Parts: []message.PromptPart{{ID: 1, Tokens: 13_000}}}}}
+	bench.step(event.Received{Peer: peer, Link: 1, Message: news})
+	if got := bench.dispatcher.KnownUpstreams(); got != known {
+		t.Errorf("%d upstreams are known, want %d", got, known)
+	}
+}
+
+// TestStartedEntryAsks: an entry that starts anew asks one peer for all that is
+// kept, and a peer answers.
+func TestStartedEntryAsks(t *testing.T) {
+	veteran := newBench(t, 6, manyRetries)
+	chosen := only[event.Attempt](t, veteran.step(veteran.brief(1))).Upstream
+	starter := newBench(t, 6, manyRetries)
+	asked := sent[message.PlacementsPull](starter.step(event.LinkOpened{Peer: peer, Link: 1}))
+	if again := sent[message.PlacementsPull](starter.step(event.LinkOpened{Peer: mesh.Accepted("third"), Link: 1})); len(asked) != 1 || len(again) != 0 {
+		t.Fatalf("asked %d and then %d peers, want one", len(asked), len(again))
+	}
+	veteran.step(event.LinkOpened{Peer: peer, Link: 1})
+	answer := sent[message.Placements](veteran.step(event.Received{Peer: peer, Link: 1, Message: asked[0]}))
+	if len(answer) != 1 {
+		t.Fatalf("%d answers", len(answer))
+	}
+	starter.step(event.Received{Peer: peer, Link: 1, Message: answer[0]})
+	if got := only[event.Attempt](t, starter.step(starter.brief(1))).Upstream; got != chosen {
+		t.Errorf("sent to %s, want %s", got, chosen)
+	}
+}
+
+// TestRestartedUpstreamKeepsNothing: an upstream that left and came back under
+// its name has lost what it had read.
+func TestRestartedUpstreamKeepsNothing(t *testing.T) {
+	bench := newBench(t, 1, manyRetries)
+	bench.end(only[event.Attempt](t, bench.step(bench.brief(1))), event.Whole)
+	bench.step(event.UpstreamGone{Name: "u-0", Revision: 5})
+	bench.step(event.UpstreamListed{Upstream: event.Upstream{Name: "u-0", Pool: "pool", Address: "u-0", Domain: "a", Revision: 6}})
+	if got := only[event.Attempt](t, bench.step(bench.brief(1))); got.View.Unread < 15_000 {
+		t.Errorf("%d tokens to read, want at least 15000 of 16000", got.View.Unread)
+	}
+}
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -63,8 +63,13 @@
 )
 
 // homeShares are the parts of a prefix that its homes are taken to keep, by their
-// place: other entries send it there too.
-var homeShares = [mostHomes]float64{0.9, 0.5}
+// place, if entries do not tell each other where it is: others send it there too.
+// Where they do, announcedShares only let two entries that meet a new prefix at
+// the same time choose alike.
+var (
+	homeShares      = [mostHomes]float64{0.9, 0.5}
+	announcedShares = [mostHomes]float64{0.05, 0}
+)
 
 func (dispatcher *Dispatcher) upstream(name string) upstreamRow {
 	row, ok := dispatcher.upstreams.Get(name)
@@ -167,17 +172,17 @@
 	prompt := row.request.Prompt
 	held := 0
 	if known := dispatcher.upstream(name).kept; known != nil {
-		held = known.Held(prompt)
+		held = known.Held(prompt.Parts)
 	}
 	place := slices.Index(homes, name)
 	if place < 0 {
 		return held
 	}
-	shared := 0
-	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
-		shared += part.Tokens
+	share := homeShares[place]
+	if dispatcher.announces(prompt) {
+		share = announcedShares[place]
 	}
-	return max(held, int(homeShares[place]*float64(shared)))
+	return max(held, int(share*float64(tokens(prompt.Shared()))))
 }
 
 // allUses adds what the other entries last reported to this entry's own work.
@@ -233,19 +238,20 @@
 	if row.urgent() {
 		held.use.Urgent++
 	}
-	if len(row.request.Prompt.Parts) > 0 {
-		held = held.WithKept(dispatcher.cacheTokens(row.pool), row.request.Prompt)
+	if parts := row.request.Prompt.Parts; len(parts) > 0 {
+		dispatcher.announce(now, row, held)
+		held = held.WithMemory(dispatcher.cacheTokens(row.pool))
+		held.kept.Add(parts)
 	}
 	dispatcher.upstreams.Put(row.upstream, held)
 	dispatcher.total = nil
 }
 
-// WithKept returns the row after the prompt was sent there.
-func (row upstreamRow) WithKept(bound int, prompt event.Prompt) upstreamRow {
+// WithMemory returns the row with a memory of what the upstream keeps.
+func (row upstreamRow) WithMemory(bound int) upstreamRow {
 	if row.kept == nil {
 		row.kept = prefix.New(bound)
 	}
-	row.kept.Add(prompt)
 	return row
 }
 
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -18,12 +18,14 @@
 	MostOutput int
 }
 
-// PromptPart is a run of tokens that prompts with the same ID have in common.
-type PromptPart struct {
-	ID     uint64
-	Tokens int
+// Shared returns the parts that other prompts may have in common with this one.
+func (prompt Prompt) Shared() []PromptPart {
+	return prompt.Parts[:max(len(prompt.Parts)-1, 0)]
 }
 
+// PromptPart is one part of a prompt.
+type PromptPart = message.PromptPart
+
 // Upstream is one upstream of the published list, for entries that reach
 // upstreams without sidecars. Revision rises with each change of its row.
 type Upstream = message.Upstream
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -4,12 +4,12 @@
 import (
 	"container/list"
 
-	"endivepost/internal/core/event"
+	"endivepost/internal/wire/message"
 )
 
-// Memory is a bounded guess at one engine's prefix cache, made of what this
-// entry sent there. The least recently used parts are forgotten first, as the
-// engine does.
+// Memory is a bounded guess at one engine's prefix cache, made of what entries
+// sent there. The least recently used parts are forgotten first, as the engine
+// does.
 type Memory struct {
 	bound int
 	held  int
@@ -17,16 +17,23 @@
 	parts map[uint64]*list.Element
 }
 
+// kept is a part in the memory. Shared says that prompts went on after it, so
+// that others may begin alike.
+type kept struct {
+	part   message.PromptPart
+	shared bool
+}
+
 // New returns an empty memory of at most bound tokens.
 func New(bound int) *Memory {
 	return &Memory{bound: bound, order: list.New(), parts: make(map[uint64]*list.Element)}
 }
 
-// Held returns how many tokens at the start of the prompt the upstream need not
-// read: a part counts only if all parts before it are held.
-func (memory *Memory) Held(prompt event.Prompt) int {
+// Held returns how many tokens at the start of a prompt of these parts the
+// upstream need not read: a part counts only if all parts before it are held.
+func (memory *Memory) Held(parts []message.PromptPart) int {
 	held := 0
-	for _, part := range prompt.Parts {
+	for _, part := range parts {
 		if _, ok := memory.parts[part.ID]; !ok {
 			return held
 		}
@@ -35,20 +42,52 @@
 	return held
 }
 
-// Add records that the upstream reads the prompt.
-func (memory *Memory) Add(prompt event.Prompt) {
-	for _, part := range prompt.Parts {
-		if found, ok := memory.parts[part.ID]; ok {
-			memory.order.MoveToFront(found)
-			continue
+// Add records that the upstream reads a prompt of these parts, of which the last
+// one is the prompt's own.
+func (memory *Memory) Add(parts []message.PromptPart) {
+	for i, part := range parts {
+		memory.put(kept{part: part, shared: i < len(parts)-1})
+	}
+	memory.forget()
+}
+
+// AddShared records that the upstream keeps parts that other prompts begin with.
+func (memory *Memory) AddShared(parts []message.PromptPart) {
+	for _, part := range parts {
+		memory.put(kept{part: part, shared: true})
+	}
+	memory.forget()
+}
+
+// Shared returns up to most shared parts, those used last first.
+func (memory *Memory) Shared(most int) []message.PromptPart {
+	var shared []message.PromptPart
+	for element := memory.order.Front(); element != nil && len(shared) < most; element = element.Next() {
+		if held, _ := element.Value.(kept); held.shared {
+			shared = append(shared, held.part)
 		}
-		memory.parts[part.ID] = memory.order.PushFront(part)
-		memory.held += part.Tokens
 	}
+	return shared
+}
+
+func (memory *Memory) put(added kept) {
+	element, known := memory.parts[added.part.ID]
+	if !known {
+		memory.parts[added.part.ID] = memory.order.PushFront(added)
+		memory.held += added.part.Tokens
+		return
+	}
+	held, _ := element.Value.(kept)
+	added.part = held.part
+	added.shared = added.shared || held.shared
+	element.Value = added
+	memory.order.MoveToFront(element)
+}
+
+func (memory *Memory) forget() {
 	for memory.held > memory.bound && memory.order.Len() > 0 {
-		oldest := memory.order.Back()
-		part, _ := memory.order.Remove(oldest).(event.PromptPart)
-		delete(memory.parts, part.ID)
-		memory.held -= part.Tokens
+		oldest, _ := memory.order.Remove(memory.order.Back()).(kept)
+		delete(memory.parts, oldest.part.ID)
+		memory.held -= oldest.part.Tokens
 	}
 }
--- a/internal/standin/batch/batch.go
+++ b/internal/standin/batch/batch.go
@@ -148,11 +148,11 @@
 
 func (engine *Engine) admit(held *run) {
 	prompt := held.job.Prompt
-	kept := engine.kept.Held(prompt)
+	kept := engine.kept.Held(prompt.Parts)
 	held.before = kept
 	held.unread = max(prompt.Tokens-kept, 1)
 	engine.counts.Read += held.unread
-	engine.kept.Add(prompt)
+	engine.kept.Add(prompt.Parts)
 	engine.running = append(engine.running, held)
 }
 
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -26,6 +26,27 @@
 	Revision uint64 `cbor:"2,keyasint"`
 }
 
+// PromptPart is a run of tokens that prompts with the same ID have in common.
+type PromptPart struct {
+	ID     uint64 `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
+}
+
+// Placement names prompt parts that an upstream was sent to read.
+type Placement struct {
+	Upstream string       `cbor:"1,keyasint"`
+	Parts    []PromptPart `cbor:"2,keyasint"`
+}
+
+// Placements tells other entries which upstreams keep which prompt parts: the
+// news of the sender, or all that it knows as the answer to PlacementsPull.
+type Placements struct {
+	Placements []Placement `cbor:"1,keyasint"`
+}
+
+// PlacementsPull asks an entry for all the placements that it knows of.
+type PlacementsPull struct{}
+
 // ListPull asks an entry for the upstreams that it knows of.
 type ListPull struct{}
 
--- a/internal/wire/message/message.go
+++ b/internal/wire/message/message.go
@@ -171,22 +171,26 @@
 	kindEntryBeat
 	kindListPull
 	kindUpstreamList
+	kindPlacements
+	kindPlacementsPull
 )
 
-func (Heartbeat) kind() uint8    { return kindHeartbeat }
-func (Reserve) kind() uint8      { return kindReserve }
-func (Claim) kind() uint8        { return kindClaim }
-func (Grant) kind() uint8        { return kindGrant }
-func (Withdraw) kind() uint8     { return kindWithdraw }
-func (Refused) kind() uint8      { return kindRefused }
-func (Chunk) kind() uint8        { return kindChunk }
-func (End) kind() uint8          { return kindEnd }
-func (Attach) kind() uint8       { return kindAttach }
-func (ConfigPull) kind() uint8   { return kindConfigPull }
-func (Config) kind() uint8       { return kindConfig }
-func (EntryBeat) kind() uint8    { return kindEntryBeat }
-func (ListPull) kind() uint8     { return kindListPull }
-func (UpstreamList) kind() uint8 { return kindUpstreamList }
+func (Heartbeat) kind() uint8      { return kindHeartbeat }
+func (Reserve) kind() uint8        { return kindReserve }
+func (Claim) kind() uint8          { return kindClaim }
+func (Grant) kind() uint8          { return kindGrant }
+func (Withdraw) kind() uint8       { return kindWithdraw }
+func (Refused) kind() uint8        { return kindRefused }
+func (Chunk) kind() uint8          { return kindChunk }
+func (End) kind() uint8            { return kindEnd }
+func (Attach) kind() uint8         { return kindAttach }
+func (ConfigPull) kind() uint8     { return kindConfigPull }
+func (Config) kind() uint8         { return kindConfig }
+func (EntryBeat) kind() uint8      { return kindEntryBeat }
+func (ListPull) kind() uint8       { return kindListPull }
+func (UpstreamList) kind() uint8   { return kindUpstreamList }
+func (Placements) kind() uint8     { return kindPlacements }
+func (PlacementsPull) kind() uint8 { return kindPlacementsPull }
 
 type envelope struct {
 	_    struct{} `cbor:",toarray"`
@@ -242,20 +246,22 @@
 }
 
 var decoders = map[uint8]func([]byte) (Message, error){
-	kindHeartbeat:    decodeAs[Heartbeat],
-	kindReserve:      decodeAs[Reserve],
-	kindClaim:        decodeAs[Claim],
-	kindGrant:        decodeAs[Grant],
-	kindWithdraw:     decodeAs[Withdraw],
-	kindRefused:      decodeAs[Refused],
-	kindChunk:        decodeAs[Chunk],
-	kindEnd:          decodeAs[End],
-	kindAttach:       decodeAs[Attach],
-	kindConfigPull:   decodeAs[ConfigPull],
-	kindConfig:       decodeAs[Config],
-	kindEntryBeat:    decodeAs[EntryBeat],
-	kindListPull:     decodeAs[ListPull],
-	kindUpstreamList: decodeAs[UpstreamList],
+	kindHeartbeat:      decodeAs[Heartbeat],
+	kindReserve:        decodeAs[Reserve],
+	kindClaim:          decodeAs[Claim],
+	kindGrant:          decodeAs[Grant],
+	kindWithdraw:       decodeAs[Withdraw],
+	kindRefused:        decodeAs[Refused],
+	kindChunk:          decodeAs[Chunk],
+	kindEnd:            decodeAs[End],
+	kindAttach:         decodeAs[Attach],
+	kindConfigPull:     decodeAs[ConfigPull],
+	kindConfig:         decodeAs[Config],
+	kindEntryBeat:      decodeAs[EntryBeat],
+	kindListPull:       decodeAs[ListPull],
+	kindUpstreamList:   decodeAs[UpstreamList],
+	kindPlacements:     decodeAs[Placements],
+	kindPlacementsPull: decodeAs[PlacementsPull],
 }
 
 func decodeAs[M Message](body []byte) (Message, error) {
