Give an engine no long prompt beyond what it may have ahead

Cause: each entry could have one request read at each engine whatever the others had there. With five entries that made up to 85,000 tokens ahead at an engine that may have 24,000, and replies behind them missed their first token. The exception dates from when entries knew of each other's reading a beat late only.

Ruled out: a smaller allowance.

The test failed before.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -32,15 +32,15 @@
 	admitEvery  = 10 * time.Millisecond
 )
 
-// hasRoom says whether the engine may be given the request now. Each entry may
-// have one request read at each engine, whatever the others have there. A stream
-// that its caller has part of is not held.
+// hasRoom says whether the engine may be given the request now: it has nothing to
+// read, or the request fits into what it may have ahead. A stream that its caller
+// has part of is not held.
 func (dispatcher *Dispatcher) hasRoom(row requestRow, chosen choice) bool {
 	pool, ok := dispatcher.config.Document().Pool(row.pool)
 	if !ok || pool.Engine.Batch == 0 {
 		return true
 	}
-	if row.delivered || row.impatient() || dispatcher.upstream(chosen.upstream.Name).use.Reading == 0 {
+	if row.delivered || row.impatient() || chosen.view.Reading == 0 {
 		return true
 	}
 	return chosen.view.Reading+chosen.view.Unread <= mostReading && chosen.view.Running < pool.Engine.Batch
--- a/internal/core/dispatch/placements_test.go
+++ b/internal/core/dispatch/placements_test.go
@@ -1,9 +1,12 @@
 package dispatch_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
+	"endivepost/internal/config/document"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/mesh"
 	"endivepost/internal/wire/message"
@@ -113,3 +116,53 @@
 		t.Errorf("%d tokens to read, want at least 15000 of 16000", got.View.Unread)
 	}
 }
+
+var draftClass = document.Class{
+	Name: "draft", Tier: 3, FirstToken: document.Duration(1500 * time.Millisecond), TimeLimit: document.Duration(8 * time.Second),
+	Streamed: true, Resumable: true, MostAttempts: 2, Split: []document.Share{{Pool: "engines", Weight: 1}},
+}
+
+// newEngineBench returns a bench with model engines e-0, e-1 and so on.
+func newEngineBench(t *testing.T, engines int) *bench {
+	t.Helper()
+	bench := newBench(t, 0, manyRetries)
+	raw, err := json.Marshal(document.Document{
+		Version: 2, Listed: true, Classes: []document.Class{draftClass},
+		Pools: []document.Pool{{Name: "engines", Engine: document.Engine{Batch: 64}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	inputs := []event.Input{event.DocumentRead{Raw: raw}}
+	for i := range engines {
+		name := fmt.Sprintf("e-%d", i)
+		inputs = append(inputs, event.UpstreamListed{Upstream: event.Upstream{Name: name, Pool: "engines", Address: name, Domain: "a", Revision: 2}})
+	}
+	bench.step(inputs...)
+	return bench
+}
+
+// draft returns a request for a long answer to a prompt of a new prefix.
+func (bench *bench) draft() event.Input {
+	bench.sequence++
+	return event.Submitted{Request: event.Request{
+		ID: message.NewRequestID(3, bench.sequence), Class: draftClass, Tier: draftClass.Tier, Fingerprint: bench.sequence,
+		Prompt: event.Prompt{Tokens: 16_000, Parts: []event.PromptPart{{ID: bench.sequence, Tokens: 13_000}, {ID: 1<<20 + bench.sequence, Tokens: 3000}}},
+	}}
+}
+
+// TestEnginesAreNotOverfilled: a long prompt waits while other entries have given
+// the engine as much to read as it may have ahead, and goes out once that is read.
+func TestEnginesAreNotOverfilled(t *testing.T) {
+	bench := newEngineBench(t, 1)
+	bench.step(event.LinkOpened{Peer: peer, Link: 1})
+	busy := message.EntryBeat{Uses: []message.Use{{Upstream: "e-0", Running: 2, Reading: 20_000}}}
+	bench.step(event.Received{Peer: peer, Link: 1, Message: busy})
+	for _, output := range bench.step(bench.draft()) {
+		if attempt, early := output.(event.Attempt); early {
+			t.Fatalf("sent to an engine that has %d tokens to read", attempt.View.Reading)
+		}
+	}
+	bench.now += 100 * time.Millisecond
+	only[event.Attempt](t, bench.step(event.Received{Peer: peer, Link: 1, Message: message.EntryBeat{}}))
+}
