Count a late first token in the choice, and keep long prompts off urgent streams

Of 5,500 replies 429 waited for their first token where their prefix was kept, behind long prompts.

Now an engine at which the first token is predicted after its target costs 3 s more, so that a reply has its prefix read again elsewhere in time; and a long prompt joins urgent streams only if there is no other engine.

Ruled out: the one without the other.

--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -66,6 +66,16 @@
 	return between > 0 && between <= urgentTarget
 }
 
+// within returns the time left to the target for the first token, 0 if there is
+// none or it has passed.
+func (row requestRow) within(now time.Duration) time.Duration {
+	first := time.Duration(row.request.Class.FirstToken)
+	if first == 0 {
+		return 0
+	}
+	return max(row.arrived+first-now, 0)
+}
+
 // mayRepeat says whether the request may be sent to one more upstream although
 // it may have run.
 func (row requestRow) mayRepeat(now time.Duration) bool {
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -110,14 +110,14 @@
 	if len(fresh) == 0 {
 		return choice{}, false
 	}
-	return dispatcher.best(row, fresh, pool.apart), true
+	return dispatcher.best(now, row, fresh, pool.apart), true
 }
 
 // best returns the cheapest of the upstreams for the request. Engines that are
 // set apart for urgent streams are costlier for long prompts, and the others are
 // costlier for urgent streams, so that each borrows from the other only when its
 // own are full.
-func (dispatcher *Dispatcher) best(row requestRow, upstreams []event.Upstream, apart map[string]bool) choice {
+func (dispatcher *Dispatcher) best(now time.Duration, row requestRow, upstreams []event.Upstream, apart map[string]bool) choice {
 	uses := dispatcher.allUses()
 	homes := dispatcher.homes(row, upstreams, apart)
 	candidates := make([]enginechoice.Candidate, len(upstreams))
@@ -135,7 +135,7 @@
 			Far:     upstream.Domain != dispatcher.settings.Domain,
 		}
 	}
-	best := enginechoice.Choose(enginechoice.Ask{Urgent: row.urgent(), Split: len(apart) > 0}, candidates)
+	best := enginechoice.Choose(enginechoice.Ask{Urgent: row.urgent(), Split: len(apart) > 0, Within: row.within(now)}, candidates)
 	chosen := candidates[best]
 	return choice{upstream: rotated[best], view: event.View{
 		Running: chosen.Running, Reading: chosen.Reading, Unread: chosen.Unread, Apart: chosen.Apart, Entries: len(dispatcher.mesh.Beats()),
--- a/internal/policy/enginechoice/enginechoice.go
+++ b/internal/policy/enginechoice/enginechoice.go
@@ -27,6 +27,9 @@
 	Urgent bool
 	// Split says that some engines are set apart.
 	Split bool
+	// Within is the time left until the answer is to begin, 0 if it is late anyway
+	// or has no target.
+	Within time.Duration
 }
 
 const (
@@ -41,10 +44,14 @@
 	// readCost weighs a millisecond of reading for the request itself: it also
 	// delays all who read and stream there.
 	readCost = 20.0
+	// lateCost is for an answer that is predicted to begin late, in ms: more than
+	// to read the prefix of a short prompt again, less than that of a long one.
+	lateCost = 3000.0
 	// borrowCost is what an urgent stream risks among long prompts, in ms, and
-	// intrudeCost what a long prompt costs the urgent streams that it joins.
+	// intrudeCost what a long prompt costs the urgent streams that it joins: more
+	// than it can gain there.
 	borrowCost  = 150.0
-	intrudeCost = 1500.0
+	intrudeCost = 12000.0
 	// fullCost is the wait for a place in a full batch, in ms.
 	fullCost = 400.0
 	// farCost is the time for a hop between failure domains, in ms.
@@ -73,6 +80,9 @@
 	reading := float64(candidate.Reading) / tokensPerMs
 	own := float64(candidate.Unread) / tokensPerMs
 	cost := reading + readCost*own + streamCost*float64(candidate.Running)
+	if ask.Within > 0 && ReadingTime(candidate.Reading+candidate.Unread) > ask.Within {
+		cost += lateCost
+	}
 	if ask.Urgent {
 		cost += readingHurts * reading
 	}
