Take an answer that names no request for the waiting one on a fresh connection only

Cause: any failure without an ID was taken for the answer to the request that waits. On a kept connection a late refusal to an earlier request would pass for the waiting one's: a hold that runs would be refused with 503, or sent once more.

Ruled out: that upstreams of the platform decline without an ID.

Now such an answer on a reused connection ends the attempt as broken: a read goes elsewhere, a hold gets 502.

--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -121,11 +121,20 @@
 				Upstream: order.Upstream, Account: served.resolved.Account, Tier: order.Tier, Budget: left, ResumeAfter: served.lastID,
 			}), nil
 		},
-		Belongs: func(response *http.Response) bool {
-			id := served.entry.settings.Dialect.Judge(response).ID
-			return id == served.call.ID || id == "" && response.StatusCode >= http.StatusBadRequest
-		},
+		Owner: served.owner,
+	}
+}
+
+// owner says whose an answer is. Only a failure may do without the request's ID.
+func (served *served) owner(response *http.Response) exchange.Owner {
+	id := served.entry.settings.Dialect.Judge(response).ID
+	switch {
+	case id == served.call.ID:
+		return exchange.Ours
+	case id == "" && response.StatusCode >= http.StatusBadRequest:
+		return exchange.Unnamed
 	}
+	return exchange.Theirs
 }
 
 // take reads the answer to one attempt and passes on what may be passed on.
--- a/internal/node/exchange/connection.go
+++ b/internal/node/exchange/connection.go
@@ -81,7 +81,7 @@
 		stop()
 		return nil, err
 	}
-	response, err := connection.read(request) //nolint:bodyclose // Answer.Close does
+	response, err := connection.read(request, reused) //nolint:bodyclose // Answer.Close does
 	if err != nil {
 		stop()
 		connection.close()
@@ -126,9 +126,14 @@
 	return nil
 }
 
+var (
+	errStrays  = errors.New("the answers belong to other requests")
+	errUnnamed = errors.New("the answer names no request and may belong to an earlier one")
+)
+
 // read returns the header of the answer to the request, and skips late answers
 // to earlier ones.
-func (connection *connection) read(request Request) (*http.Response, error) {
+func (connection *connection) read(request Request, reused bool) (*http.Response, error) {
 	for range mostStrays {
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -137,14 +142,17 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.Belongs(response) {
+		switch owner := request.Owner(response); {
+		case owner == Ours, owner == Unnamed && !reused:
 			return response, nil
+		case owner == Unnamed:
+			return nil, errUnnamed
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
 	}
-	return nil, errors.New("the answers belong to other requests")
+	return nil, errStrays
 }
 
 // Answer is the header of an upstream's answer, and its body to be read.
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -45,11 +45,25 @@
 	Host    string
 	Body    []byte
 	Header  func() (http.Header, error)
-	// Belongs says whether an answer is to this request; an upstream may deliver
-	// an answer to an earlier one late.
-	Belongs func(*http.Response) bool
+	// Owner says whose an answer is: an upstream may deliver an answer to an
+	// earlier request late.
+	Owner func(*http.Response) Owner
 }
 
+// Owner says whose an answer is, as far as its header tells.
+type Owner uint8
+
+// The owners of an answer.
+const (
+	// Ours is an answer to the request that waits.
+	Ours Owner = iota + 1
+	// Theirs is an answer to another request.
+	Theirs
+	// Unnamed is an answer that names no request. It is to the request that waits
+	// if that is the first one on its connection.
+	Unnamed
+)
+
 // Errors of Do that say how far a request came.
 var (
 	// ErrUnreached means that no connection could be made.
