Clear a request of a crash when the upstream goes on to answer

Cause: each broken answer counted as a crash of the upstream by its request. Where connections are reset by chance, three such losses made a request, and all equal ones of its account, a suspect for five minutes, at all entries.

An upstream that sends anything on another request 50 ms to 1 s after the break has not crashed: the request is cleared, and the next beat tells the others so. Also, a suspicion that has lapsed no longer outweighs a smaller one that is reported.

Ruled out: to wait for proof of a crash instead (the upstream's row leaving, a refused connection), since those who come back within seconds would be run by three more upstreams; shorter memory, since a crashing request comes again.

The tests failed before: 5 of 5 requests refused whose upstreams went on. Those with upstreams that send nothing more, sent it before, or are back after some seconds stay refused.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -15,6 +15,7 @@
 	}
 	row.answered = true
 	dispatcher.requests.Put(answered.ID, row)
+	dispatcher.absolve(now, row.upstream)
 	held := dispatcher.upstream(row.upstream).WithSuccess(now)
 	held.use.Reading -= row.reading
 	dispatcher.upstreams.Put(row.upstream, held)
@@ -23,6 +24,7 @@
 
 func (dispatcher *Dispatcher) progressed(now time.Duration, progressed event.AttemptProgressed) {
 	if row, ok := dispatcher.current(progressed.ID, progressed.Number); ok {
+		dispatcher.absolve(now, row.upstream)
 		dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithHeard(now))
 	}
 }
@@ -48,8 +50,7 @@
 	dispatcher.judgeUpstream(now, row, ended)
 	switch ended.Result {
 	case event.Whole:
-		dispatcher.seen.Clear(row.request.Fingerprint)
-		dispatcher.heard.Clear(row.request.Fingerprint)
+		dispatcher.clear(now, row)
 		dispatcher.measure(now, row)
 		dispatcher.finish(now, row, message.Complete, message.NoReason)
 	case event.Unreached:
@@ -74,6 +75,9 @@
 
 // judgeUpstream draws from the end of an attempt what it says about the upstream.
 func (dispatcher *Dispatcher) judgeUpstream(now time.Duration, row requestRow, ended event.AttemptEnded) {
+	if ended.Result == event.Whole || ended.Result == event.Declined || ended.Result == event.Erred {
+		dispatcher.absolve(now, row.upstream)
+	}
 	held := dispatcher.upstream(row.upstream)
 	dispatcher.observe(now, row, ended)
 	switch ended.Result {
@@ -89,8 +93,7 @@
 	}
 	dispatcher.upstreams.Put(row.upstream, held)
 	if ended.Result == event.Broken {
-		crashes, _ := dispatcher.crashes(now, row)
-		dispatcher.seen.Raise(now, row.request.Fingerprint, crashes+1)
+		dispatcher.blame(now, row)
 	}
 }
 
@@ -105,22 +108,6 @@
 	}
 }
 
-// crashes returns how many upstreams the request is blamed for, as seen here or
-// heard of, and how long that still lasts.
-func (dispatcher *Dispatcher) crashes(now time.Duration, row requestRow) (int, time.Duration) {
-	seen, seenFor := dispatcher.seen.Crashes(now, row.request.Fingerprint)
-	heard, heardFor := dispatcher.heard.Crashes(now, row.request.Fingerprint)
-	if heard > seen {
-		return heard, heardFor
-	}
-	return seen, seenFor
-}
-
-func (dispatcher *Dispatcher) suspected(now time.Duration, row requestRow) bool {
-	crashes, _ := dispatcher.crashes(now, row)
-	return crashes >= refuseFrom
-}
-
 // retry sends the request to one more upstream if it may be, the common bound on
 // retries leaves room, and there is one.
 func (dispatcher *Dispatcher) retry(now time.Duration, row requestRow, may bool, reason message.Reason) {
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -37,8 +37,10 @@
 	requestDue *agenda.Agenda[message.RequestID]
 	// seen are the suspicions that this entry saw itself and passes on, heard those
 	// that others told it of.
-	seen     *suspects.Table
-	heard    *suspects.Table
+	seen  *suspects.Table
+	heard *suspects.Table
+	// cleared are the fingerprints that the next beat clears of suspicion.
+	cleared  []uint64
 	retries  map[string]*retrywindow.Window
 	splits   map[string]*setapart.Split
 	rates    *outlier.Rates
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -48,6 +48,9 @@
 }
 
 func (dispatcher *Dispatcher) takeBeat(now time.Duration, received event.Received, beat message.EntryBeat) {
+	for _, fingerprint := range beat.Cleared {
+		dispatcher.heard.Clear(fingerprint)
+	}
 	for _, suspicion := range beat.Suspicions {
 		dispatcher.heard.Merge(now, suspicion)
 	}
@@ -74,7 +77,9 @@
 		Entries:       dispatcher.mesh.Addresses(),
 		Departures:    dispatcher.roster.Departures(now),
 		Suspicions:    dispatcher.seen.Report(now, suspicionsPerBeat),
+		Cleared:       dispatcher.cleared,
 	}
+	dispatcher.cleared = nil
 	if dispatcher.mesh.Known() > crowd {
 		dispatcher.beatDue = now + crowdedBeats*dispatcher.settings.BeatEvery
 	} else {
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -24,6 +24,8 @@
 	// avoidUntil keeps new work away while others can take it.
 	avoidUntil time.Duration
 	kept       *prefix.Memory
+	// blamed are the requests that its last crash, if it was one, is put down to.
+	blamed []blame
 }
 
 // WithHeard returns the row after a sign of life.
--- a/internal/core/suspects/suspects.go
+++ b/internal/core/suspects/suspects.go
@@ -43,7 +43,7 @@
 // are counted by the peer that saw the later one, so the larger number holds.
 func (suspects *Table) Merge(now time.Duration, reported message.Suspicion) {
 	found, _ := suspects.rows.Get(reported.Fingerprint)
-	if found.crashes > reported.Crashes {
+	if found.crashes > reported.Crashes && found.expires > now {
 		return
 	}
 	expires := max(found.expires, now+min(reported.Remaining, Memory))
@@ -60,6 +60,20 @@
 	suspects.rows.Delete(fingerprint)
 }
 
+// Absolve takes one crash off the fingerprint: it was none.
+func (suspects *Table) Absolve(fingerprint uint64) {
+	found, known := suspects.rows.Get(fingerprint)
+	if !known {
+		return
+	}
+	found.crashes--
+	if found.crashes <= 0 {
+		suspects.Clear(fingerprint)
+		return
+	}
+	suspects.rows.Put(fingerprint, found)
+}
+
 // Crashes returns how many crashes the fingerprint is blamed for and how long
 // the suspicion still lasts.
 func (suspects *Table) Crashes(now time.Duration, fingerprint uint64) (int, time.Duration) {
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -8,6 +8,8 @@
 	Uses          []Use       `cbor:"3,keyasint,omitempty"`
 	Departures    []Departure `cbor:"4,keyasint,omitempty"`
 	Suspicions    []Suspicion `cbor:"5,keyasint,omitempty"`
+	// Cleared are fingerprints of requests that were suspected and turned out well.
+	Cleared []uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Use is one entry's work in progress at one upstream.
