Send an engine no more than its memory holds

Only reading was bounded: once answers had begun nothing kept further long prompts away, and in the test an engine with a memory of 200,000 tokens was sent 320,000 (failed before).

Now entries tell each other what running requests may add to an engine's memory, and long prompts wait beyond three quarters of it.

Ruled out: to count whole prompts although running requests share prefixes.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -14,6 +14,9 @@
 	// mostReading is the reading, in tokens, that all entries together give an
 	// engine ahead of time: what waits inside an engine is out of reach of order.
 	mostReading = 24_000
+	// memoryShare is the part of an engine's memory that requests may be sent to
+	// fill: the prefixes that they share with others need the rest.
+	memoryShare = 0.75
 	// shortestAnswer is the least time that an answer takes; a request that has
 	// less left is given up.
 	shortestAnswer = 500 * time.Millisecond
@@ -40,10 +43,22 @@
 	if !ok || pool.Engine.Batch == 0 {
 		return true
 	}
-	if row.delivered || row.impatient() || chosen.view.Reading == 0 {
+	if row.delivered || row.impatient() {
 		return true
 	}
-	return chosen.view.Reading+chosen.view.Unread <= mostReading && chosen.view.Running < pool.Engine.Batch
+	if chosen.view.Running >= pool.Engine.Batch || !dispatcher.fits(row, chosen.upstream.Name, chosen.view.Unread) {
+		return false
+	}
+	return chosen.view.Reading == 0 || chosen.view.Reading+chosen.view.Unread <= mostReading
+}
+
+// fits says whether the engine's memory holds the request beside what runs there.
+// It answers the load in which engines turn slow under long prompts: an engine that
+// runs out of memory interrupts requests and reads them again.
+func (dispatcher *Dispatcher) fits(row requestRow, name string, unread int) bool {
+	bound := memoryShare * float64(dispatcher.cacheTokens(row.pool))
+	running := dispatcher.allUses()[name].Memory
+	return running == 0 || float64(running+row.memory(unread)) <= bound
 }
 
 // queue lets a request wait for room.
@@ -151,7 +166,8 @@
 	apart := dispatcher.view(now, row.pool).apart
 	return dispatcher.chooseFrom(now, row, func(upstream event.Upstream) bool {
 		use := dispatcher.allUses()[upstream.Name]
-		return apart[upstream.Name] == row.urgent() && use.Reading+row.request.Prompt.Tokens <= mostReading
+		room := use.Reading+row.request.Prompt.Tokens <= mostReading && dispatcher.fits(row, upstream.Name, row.request.Prompt.Tokens)
+		return apart[upstream.Name] == row.urgent() && room
 	})
 }
 
--- a/internal/core/dispatch/placements_test.go
+++ b/internal/core/dispatch/placements_test.go
@@ -128,7 +128,7 @@
 	bench := newBench(t, 0, manyRetries)
 	raw, err := json.Marshal(document.Document{
 		Version: 2, Listed: true, Classes: []document.Class{draftClass},
-		Pools: []document.Pool{{Name: "engines", Engine: document.Engine{Batch: 64}}},
+		Pools: []document.Pool{{Name: "engines", Engine: document.Engine{Batch: 64, CacheTokens: 200_000}}},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -166,3 +166,25 @@
 	bench.now += 100 * time.Millisecond
 	only[event.Attempt](t, bench.step(event.Received{Peer: peer, Link: 1, Message: message.EntryBeat{}}))
 }
+
+// TestEngineMemoryIsNotOverfilled: slow engines begin answers and do not end them.
+// No more long prompts are sent there than their memory holds, and those that wait
+// go out when others end.
+func TestEngineMemoryIsNotOverfilled(t *testing.T) {
+	bench := newEngineBench(t, 1)
+	var running []event.Attempt
+	for range 20 {
+		bench.now += 50 * time.Millisecond
+		for _, output := range bench.step(bench.draft()) {
+			if attempt, ok := output.(event.Attempt); ok {
+				running = append(running, attempt)
+				bench.step(event.AttemptAnswered{ID: attempt.ID, Number: attempt.Number})
+			}
+		}
+	}
+	if tokens := len(running) * 16_000; tokens > 200_000 || tokens < 100_000 {
+		t.Fatalf("%d tokens were sent to a memory of 200000", tokens)
+	}
+	bench.now += 50 * time.Millisecond
+	only[event.Attempt](t, bench.end(running[0], event.Whole))
+}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -66,6 +66,12 @@
 	return between > 0 && between <= urgentTarget
 }
 
+// memory returns how many tokens the request may add to an engine's KV cache where
+// so many of its prompt are to be read.
+func (row requestRow) memory(unread int) int {
+	return unread + row.request.Prompt.MostOutput
+}
+
 // within returns the time left to the target for the first token, 0 if there is
 // none or it has passed.
 func (row requestRow) within(now time.Duration) time.Duration {
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -203,6 +203,7 @@
 			sum.Running += use.Running
 			sum.Reading += use.Reading
 			sum.Urgent += use.Urgent
+			sum.Memory += use.Memory
 			total[use.Upstream] = sum
 		}
 	}
@@ -237,6 +238,7 @@
 	}
 	held.use.Running++
 	held.use.Reading += row.reading
+	held.use.Memory += row.memory(row.reading)
 	if row.urgent() {
 		held.use.Urgent++
 	}
@@ -271,6 +273,7 @@
 	if !row.answered {
 		held.use.Reading -= row.reading
 	}
+	held.use.Memory -= row.memory(row.reading)
 	if row.urgent() {
 		held.use.Urgent--
 	}
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -20,6 +20,9 @@
 	Reading int `cbor:"3,keyasint,omitempty"`
 	// Urgent counts the running streams with a short target between tokens.
 	Urgent int `cbor:"4,keyasint,omitempty"`
+	// Memory counts the tokens that running requests may add to the engine's KV
+	// cache: what is read of their prompts, and their longest answers.
+	Memory int `cbor:"5,keyasint,omitempty"`
 }
 
 // Departure says that an upstream is leaving or gone since a revision of its row.
