--- a/internal/command/verbs/platform_entry.go
+++ b/internal/command/verbs/platform_entry.go
@@ -77,6 +77,7 @@
 		Dialect:        platform.Dialect{},
 		Retries:        retrywindow.Settings{Ratio: read.RetryRatio, Slack: read.RetrySlack, Span: read.RetrySpan},
 		Grace:          read.Grace,
+		DroppedLines:   lines.Dropped,
 		Follow: func(following context.Context, tell func(event.Input)) {
 			platform.NewFollower(read.StoreAddress, observe.Log, tell).Run(following)
 		},
--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -89,7 +89,7 @@
 		held = held.WithHeard(now)
 	case event.Mistaken:
 		dispatcher.roster.Mistaken(now, row.upstream)
-		dispatcher.noteUpstream(now, row.upstream, true)
+		dispatcher.noteUpstream(now, row.upstream, event.OtherUpstream, true)
 	}
 	dispatcher.upstreams.Put(row.upstream, held)
 	if ended.Result == event.Broken {
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -221,13 +221,13 @@
 func (dispatcher *Dispatcher) takeSurroundings(now time.Duration, input event.Input) {
 	switch input := input.(type) {
 	case event.UpstreamListed:
-		dispatcher.noteUpstream(now, input.Upstream.Name, dispatcher.roster.List(now, input.Upstream))
+		dispatcher.noteUpstream(now, input.Upstream.Name, event.PublishedRow, dispatcher.roster.List(now, input.Upstream))
 	case event.UpstreamGone:
-		dispatcher.noteUpstream(now, input.Name, dispatcher.roster.Remove(now, input.Name, input.Revision))
+		dispatcher.noteUpstream(now, input.Name, event.RowRemoved, dispatcher.roster.Remove(now, input.Name, input.Revision))
 	case event.UpstreamsRead:
 		dispatcher.listRead = true
 		for _, name := range dispatcher.roster.Replace(now, input.Upstreams, input.Revision) {
-			dispatcher.noteUpstream(now, name, true)
+			dispatcher.noteUpstream(now, name, event.WholeList, true)
 		}
 	case event.StoreLost:
 		dispatcher.roster.StoreLost()
@@ -248,7 +248,7 @@
 
 // noteUpstream reports a change of an upstream's row for the log, and looks at
 // the requests that wait for one.
-func (dispatcher *Dispatcher) noteUpstream(now time.Duration, name string, changed bool) {
+func (dispatcher *Dispatcher) noteUpstream(now time.Duration, name string, source event.Source, changed bool) {
 	if !changed {
 		return
 	}
@@ -262,7 +262,7 @@
 		dispatcher.rates.Forget(name)
 		dispatcher.forgetKept(name)
 	}
-	dispatcher.emit(event.Believed{Belief: belief, Name: name, Version: upstream.Revision})
+	dispatcher.emit(event.Believed{Belief: belief, Source: source, Name: name, Version: upstream.Revision})
 	dispatcher.beatDue = min(dispatcher.beatDue, now)
 }
 
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -43,7 +43,7 @@
 	}
 	dispatcher.listRead = true
 	for _, upstream := range list.Upstreams {
-		dispatcher.noteUpstream(now, upstream.Name, dispatcher.roster.List(now, upstream))
+		dispatcher.noteUpstream(now, upstream.Name, event.OtherEntry, dispatcher.roster.List(now, upstream))
 	}
 }
 
@@ -55,7 +55,7 @@
 		dispatcher.heard.Merge(now, suspicion)
 	}
 	for _, departure := range beat.Departures {
-		dispatcher.noteUpstream(now, departure.Upstream, dispatcher.roster.Depart(now, departure))
+		dispatcher.noteUpstream(now, departure.Upstream, event.OtherEntry, dispatcher.roster.Depart(now, departure))
 	}
 	dispatcher.emit(dispatcher.config.Heard(now, received.Peer, received.Link, beat.ConfigVersion)...)
 	if !dispatcher.listRead && now >= dispatcher.listPullDue {
--- a/internal/core/dispatch/suspicions.go
+++ b/internal/core/dispatch/suspicions.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
+
+	"endivepost/internal/core/event"
 )
 
 const (
@@ -40,6 +43,7 @@
 func (dispatcher *Dispatcher) blame(now time.Duration, row requestRow) {
 	crashes, _ := dispatcher.crashes(now, row)
 	dispatcher.seen.Raise(now, row.request.Fingerprint, crashes+1)
+	dispatcher.noteSuspicion(event.Suspected, row.request.Fingerprint, crashes+1)
 	held := dispatcher.upstream(row.upstream)
 	held.blamed = append(held.blamed[:len(held.blamed):len(held.blamed)], blame{fingerprint: row.request.Fingerprint, at: now})
 	dispatcher.upstreams.Put(row.upstream, held)
@@ -75,9 +79,15 @@
 	dispatcher.heard.Clear(row.request.Fingerprint)
 }
 
+// noteSuspicion reports for the log what is believed of a request.
+func (dispatcher *Dispatcher) noteSuspicion(belief event.Belief, fingerprint uint64, crashes int) {
+	dispatcher.emit(event.Believed{Belief: belief, Name: fmt.Sprintf("%016x", fingerprint), Version: uint64(crashes)})
+}
+
 // tellCleared has the next beat tell the others. A beat has room for as many as
 // for suspicions; what is left out lapses by itself.
 func (dispatcher *Dispatcher) tellCleared(fingerprint uint64) {
+	dispatcher.noteSuspicion(event.Cleared, fingerprint, 0)
 	if len(dispatcher.cleared) < suspicionsPerBeat && !slices.Contains(dispatcher.cleared, fingerprint) {
 		dispatcher.cleared = append(dispatcher.cleared, fingerprint)
 	}
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -161,15 +161,44 @@
 // for the log.
 type Believed struct {
 	Belief  Belief
+	Source  Source
 	Name    string
 	Address string
 	Version uint64
 }
 
-// Belief is what is believed of an upstream.
+// Source says whose word changed a belief.
+type Source uint8
+
+// The sources of a belief.
+const (
+	// OwnRequests are what became of the entry's own requests.
+	OwnRequests Source = iota
+	// PublishedRow is a row of the published list, and RowRemoved its removal.
+	PublishedRow
+	RowRemoved
+	// WholeList is the published list as a whole: the row is in it, or missing.
+	WholeList
+	// OtherEntry is what another entry told.
+	OtherEntry
+	// OtherUpstream is the upstream that answers at the address now.
+	OtherUpstream
+)
+
+var sourceNames = [...]string{"own-requests", "published-row", "row-removed", "whole-list", "other-entry", "other-upstream"}
+
+// String returns the kebab-case name that logs show.
+func (source Source) String() string {
+	if int(source) < len(sourceNames) {
+		return sourceNames[source]
+	}
+	return "unknown"
+}
+
+// Belief is what is believed of an upstream or of a request.
 type Belief uint8
 
-// The beliefs of an upstream.
+// The beliefs.
 const (
 	// Usable means that it may be sent new work.
 	Usable Belief = iota + 1
@@ -178,6 +207,11 @@
 	// Silent means that it has work and sends nothing. Version is for how long,
 	// in milliseconds. Connections to it that stand idle may be as silent.
 	Silent
+	// Suspected means that an upstream may have crashed by the request with the
+	// fingerprint in Name. Version counts such upstreams.
+	Suspected
+	// Cleared means that it did not, or that the request turned out well.
+	Cleared
 )
 
 func (UpstreamListed) input()    {}
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -8,10 +8,14 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"endivepost/internal/core/event"
 	"endivepost/internal/node/dialect"
 	"endivepost/internal/node/eventstream"
 	"endivepost/internal/node/exchange"
+	"endivepost/internal/node/telemetry"
 )
 
 const (
@@ -55,20 +59,25 @@
 }
 
 // attempt sends the request to one upstream and passes its answer on.
-func (served *served) attempt(ctx context.Context, order event.Attempt) event.AttemptEnded {
-	ended := event.AttemptEnded{ID: order.ID, Number: order.Number}
+func (served *served) attempt(ctx context.Context, order event.Attempt) (ended event.AttemptEnded) {
+	ended = event.AttemptEnded{ID: order.ID, Number: order.Number}
 	left := order.Until - served.entry.loop.Uptime()
 	if left < shortestSend {
 		ended.Result = event.Withheld
 		return ended
 	}
+	ctx, span := served.entry.telemetry.Tracer().Start(ctx, "attempt", trace.WithAttributes(attribute.String("upstream", order.Upstream)))
+	defer func() {
+		span.SetAttributes(attribute.String("result", ended.Result.String()))
+		span.End()
+	}()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(left+limitMargin, func() { cancel(errTimeUp) })
 	defer timer.Stop()
 	served.orders.begin(cancel)
 	defer served.orders.begin(nil)
-	answer, err := served.entry.exchange.Do(ctx, served.outbound(order))
+	answer, err := served.entry.exchange.Do(ctx, served.outbound(ctx, order))
 	if err != nil {
 		ended.Result = sortFailure(ctx, err)
 		ended.Delivered = served.begun
@@ -105,7 +114,7 @@
 
 // outbound returns the request as the upstream gets it. Its header is made when
 // the connection stands, so that the time it tells is what is left then.
-func (served *served) outbound(order event.Attempt) exchange.Request {
+func (served *served) outbound(ctx context.Context, order event.Attempt) exchange.Request {
 	return exchange.Request{
 		Address: order.Address,
 		Method:  served.request.Method,
@@ -117,9 +126,13 @@
 			if left < shortestSend {
 				return nil, errTimeUp
 			}
-			return served.entry.settings.Dialect.Outbound(served.request.Header, dialect.Send{
+			header := served.entry.settings.Dialect.Outbound(served.request.Header, dialect.Send{
 				Upstream: order.Upstream, Account: served.resolved.Account, Tier: order.Tier, Budget: left, ResumeAfter: served.lastID,
-			}), nil
+			})
+			if trace.SpanFromContext(ctx).IsRecording() {
+				header.Set("Traceparent", telemetry.Inject(ctx))
+			}
+			return header, nil
 		},
 		Owner: served.owner,
 	}
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -43,6 +43,9 @@
 	index      atomic.Pointer[index.Index]
 	ready      atomic.Bool
 	draining   atomic.Bool
+	storeLost  atomic.Bool
+	// acceptedAt is when the document in force was accepted, in Unix nanoseconds.
+	acceptedAt atomic.Int64
 	sequence   atomic.Uint64
 	mutex      sync.Mutex
 	links      map[string]numbered
@@ -68,6 +71,8 @@
 	Retries retrywindow.Settings
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace time.Duration
+	// DroppedLines returns how many lines of the log nobody read in time.
+	DroppedLines func() int64
 	// Follow tells of the document and the upstreams until the context ends.
 	Follow func(ctx context.Context, tell func(event.Input))
 }
@@ -94,9 +99,10 @@
 	// balancerLinger is how long new connections may still come after this
 	// process says that it is not ready: two missed questions a second apart.
 	balancerLinger = 2800 * time.Millisecond
-	// exitMargin is kept between our own end and the kill at the end of the grace.
 	// mostLines is the number of lines a second on requests that went well.
-	mostLines   = 200
+	mostLines = 200
+	// exitMargin is kept between our own end and the kill at the end of the grace,
+	// and flushWithin bounds the wait for the last messages to other entries.
 	exitMargin  = 500 * time.Millisecond
 	flushWithin = 100 * time.Millisecond
 )
@@ -144,7 +150,7 @@
 	}
 	go entry.loop.Run(running)
 	entry.FindPeers(entry.settings.Peers)
-	go entry.settings.Follow(running, entry.loop.Tell)
+	go entry.settings.Follow(running, entry.follow)
 	go entry.prune(running)
 	entry.log(logevent.Started).WithFields(logrus.Fields{
 		"domain": entry.settings.Domain, "listen": entry.settings.CallerAddress, "peers": len(entry.settings.Peers),
@@ -154,6 +160,17 @@
 	return nil
 }
 
+// follow takes what is told of the document and the upstreams.
+func (entry *Entry) follow(input event.Input) {
+	switch input.(type) {
+	case event.StoreLost:
+		entry.storeLost.Store(true)
+	case event.StoreRegained:
+		entry.storeLost.Store(false)
+	}
+	entry.loop.Tell(input)
+}
+
 // FindPeers adds addresses at which other entries may be reached.
 func (entry *Entry) FindPeers(addresses []string) {
 	for _, address := range addresses {
@@ -245,9 +262,10 @@
 	}
 }
 
-// beliefs names the events for what is believed of upstreams.
+// beliefs names the events for what is believed.
 var beliefs = map[event.Belief]logevent.Name{
 	event.Usable: logevent.UpstreamUsable, event.Left: logevent.UpstreamLeft, event.Silent: logevent.UpstreamSilent,
+	event.Suspected: logevent.RequestSuspected, event.Cleared: logevent.RequestCleared,
 }
 
 // note takes what changes the belief of the process.
@@ -255,6 +273,7 @@
 	switch output := output.(type) {
 	case event.DocumentAccepted:
 		entry.index.Store(index.New(output.Document))
+		entry.acceptedAt.Store(time.Now().UnixNano())
 		entry.log(logevent.ConfigAccepted).WithFields(logrus.Fields{
 			"version": output.Document.Version, "classes": len(output.Document.Classes), "accounts": len(output.Document.Accounts),
 		}).Info()
@@ -264,7 +283,10 @@
 		if output.Belief == event.Silent {
 			entry.exchange.Drop(output.Address)
 		}
-		entry.log(beliefs[output.Belief]).WithFields(logrus.Fields{"name": output.Name, "version": output.Version}).Info()
+		entry.telemetry.Metrics.Tagged(map[string]string{"belief": string(beliefs[output.Belief])}).Counter("beliefs").Inc(1)
+		entry.log(beliefs[output.Belief]).WithFields(logrus.Fields{
+			"name": output.Name, "source": output.Source.String(), "version": output.Version,
+		}).Info()
 	case event.Ready:
 		entry.ready.Store(true)
 		entry.log(logevent.Ready).Info()
--- a/internal/node/direct/observe.go
+++ b/internal/node/direct/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -10,10 +11,13 @@
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/node/attainment"
 	"endivepost/internal/node/logevent"
+	"endivepost/internal/node/telemetry"
 	"endivepost/internal/wire/message"
 )
 
@@ -49,7 +53,7 @@
 		Class: served.resolved.Class, Outcome: finish.Outcome, Reason: finish.Reason, FirstToken: served.first, Whole: took,
 		Tokens: served.events, Slow: served.slow, Wasted: finish.Wasted,
 	})
-	scope := entry.telemetry.Metrics.Tagged(map[string]string{"class": served.resolved.Class.Name})
+	scope := entry.classScope(served.resolved.Class.Name)
 	scope.Tagged(map[string]string{"outcome": finish.Outcome.String(), "reason": finish.Reason.String()}).Counter("requests").Inc(1)
 	scope.Counter("pauses").Inc(int64(served.slow))
 	scope.Counter("unread_tokens").Inc(int64(finish.View.Unread))
@@ -67,6 +71,18 @@
 	}).Info()
 }
 
+// startSpan begins the span of a request, under that of the caller if it names one.
+func (entry *Entry) startSpan(ctx context.Context, served *served) (context.Context, trace.Span) {
+	ctx = telemetry.Extract(ctx, served.request.Header.Get("Traceparent"))
+	return entry.telemetry.Tracer().Start(ctx, "entry", trace.WithAttributes(
+		attribute.String("request", served.call.ID), attribute.String("class", served.resolved.Class.Name),
+	))
+}
+
+func (entry *Entry) classScope(class string) tally.Scope {
+	return entry.telemetry.Metrics.Tagged(map[string]string{"class": class})
+}
+
 // mayLog says whether a line on what went well may be written, and writes how
 // many were left out before.
 func (entry *Entry) mayLog() bool {
@@ -81,6 +97,9 @@
 func (served *served) recordAttempt(order event.Attempt, ended event.AttemptEnded) {
 	tags := map[string]string{"class": served.resolved.Class.Name, "result": ended.Result.String()}
 	served.entry.telemetry.Metrics.Tagged(tags).Counter("attempts").Inc(1)
+	if order.Number == 1 {
+		served.entry.classScope(served.resolved.Class.Name).Histogram("waited_seconds", latencyBuckets).RecordDuration(served.sentAfter)
+	}
 	if ended.Result == event.Whole && order.Number == 1 {
 		return
 	}
@@ -93,13 +112,14 @@
 // logLeft logs that a caller did not take an answer.
 func (served *served) logLeft(err error) {
 	served.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
-		"request": served.call.ID, "attempt": 0, "upstream": "", "cause": err.Error(),
+		"request": served.call.ID, "attempt": 0, "upstream": "", "fingerprint": "", "cause": err.Error(),
 	}).Info()
 }
 
 func (served *served) logCause(order event.Attempt, err error) {
 	served.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
-		"request": served.call.ID, "attempt": order.Number, "upstream": order.Upstream, "cause": strings.ReplaceAll(err.Error(), "\n", "; "),
+		"request": served.call.ID, "attempt": order.Number, "upstream": order.Upstream,
+		"fingerprint": fmt.Sprintf("%016x", served.resolved.Fingerprint), "cause": strings.ReplaceAll(err.Error(), "\n", "; "),
 	}).Info()
 }
 
@@ -144,12 +164,25 @@
 func (entry *Entry) measureSurroundings(ctx context.Context) {
 	status := entry.status(ctx)
 	metrics := entry.telemetry.Metrics
+	metrics.Gauge("store_lost").Update(flag(entry.storeLost.Load()))
+	metrics.Gauge("log_lines_dropped").Update(float64(entry.settings.DroppedLines()))
+	if at := entry.acceptedAt.Load(); at > 0 {
+		metrics.Gauge("config_age_seconds").Update(time.Since(time.Unix(0, at)).Seconds())
+	}
 	metrics.Gauge("config_version").Update(float64(status.ConfigVersion))
 	metrics.Gauge("in_progress").Update(float64(status.InProgress))
 	metrics.Gauge("upstreams_usable").Update(float64(status.Upstreams))
 	metrics.Gauge("entries_heard").Update(float64(status.Entries))
 }
 
+// flag returns a truth as metrics have it.
+func flag(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 func (entry *Entry) writeJSON(writer http.ResponseWriter, value any) {
 	writer.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(writer).Encode(value); err != nil {
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -212,12 +212,17 @@
 		delete(entry.calls, id)
 		entry.mutex.Unlock()
 	}()
+	ctx, span := entry.startSpan(ctx, served)
+	defer span.End()
 	forget := context.AfterFunc(ctx, func() { entry.loop.Tell(event.CallerGone{ID: id}) })
 	defer forget()
 	entry.loop.Tell(event.Submitted{Request: served.resolved})
 	for order := range served.orders.queue {
 		switch order := order.(type) {
 		case event.Attempt:
+			if order.Number == 1 {
+				served.sentAfter = time.Since(served.arrived)
+			}
 			ended := served.attempt(ctx, order)
 			served.recordAttempt(order, ended)
 			entry.loop.Tell(ended)
@@ -243,9 +248,11 @@
 	begun    bool
 	lastID   string
 	events   int
-	first    time.Duration
-	latest   time.Time
-	slow     int
+	// sentAfter is the wait before the first attempt, first that for the answer.
+	sentAfter time.Duration
+	first     time.Duration
+	latest    time.Time
+	slow      int
 }
 
 // finish gives the caller its final answer, if it has none yet.
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -27,6 +27,8 @@
 	UpstreamUsable   Name = "upstream-usable"
 	UpstreamLeft     Name = "upstream-left"
 	UpstreamSilent   Name = "upstream-silent"
+	RequestSuspected Name = "request-suspected"
+	RequestCleared   Name = "request-cleared"
 	LinkOpened       Name = "link-opened"
 	LinkClosed       Name = "link-closed"
 	LinkRefused      Name = "link-refused"
@@ -38,6 +40,7 @@
 	RequestFinished  Name = "request-finished"
 	LinesLeftOut     Name = "lines-left-out"
 	LinesDropped     Name = "log-lines-dropped"
+	Span             Name = "span"
 )
 
 // Entry describes one event for operators.
@@ -66,16 +69,21 @@
 	{StoreRegained, "the store answers again", "prefix, failures"},
 	{StoreHistoryGone, "the store forgot what changed; all is read again", "prefix, error"},
 	{StoreItem, "an item of the store cannot be read", "key, revision, error"},
-	{UpstreamUsable, "an upstream may be sent work", "name, version"},
-	{UpstreamLeft, "an upstream may be sent nothing more", "name, version"},
-	{UpstreamSilent, "an upstream has work and sends nothing; version is for how long, in ms", "name, version"},
+	{UpstreamUsable, "an upstream may be sent work; source is whose word it was, version that of its row", "name, source, version"},
+	{UpstreamLeft, "an upstream may be sent nothing more", "name, source, version"},
+	{UpstreamSilent, "an upstream has work and sends nothing; version is for how long, in ms", "name, source, version"},
+	{
+		RequestSuspected, "an upstream broke off while it ran a request; name is the request's fingerprint, version counts such upstreams",
+		"name, source, version",
+	},
+	{RequestCleared, "the upstream lives, or the request ended well after all", "name, source, version"},
 	{LinkOpened, "a connection to another entry stands", "peer"},
 	{LinkClosed, "a connection to another entry ended", "peer, error"},
 	{LinkRefused, "a process without the shared secret or of another version called", "error"},
 	{DialFailed, "another entry cannot be reached", "peer, error"},
 	{RequestRefused, "a request went nowhere", "request, code, status, version, detail"},
 	{FieldIgnored, "a field that helps to place a request cannot be read; the request goes on without it", "request, detail"},
-	{AttemptFailed, "an attempt ended without an answer", "request, attempt, upstream, cause"},
+	{AttemptFailed, "an attempt ended without an answer", "request, attempt, upstream, fingerprint, cause"},
 	{
 		AttemptEnded, "an attempt did not end a request, or ended one after others",
 		"request, attempt, upstream, result, status, after-ms, running, reading, unread, apart, entries-heard, waiting",
@@ -87,6 +95,7 @@
 	},
 	{LinesLeftOut, "lines of requests that went well were left out in the last second", "count"},
 	{LinesDropped, "nobody read the log fast enough", "count"},
+	{Span, "a traced request (name entry) or one of its attempts (name attempt) ended", "name, trace, span, parent, took, request, class, upstream, result"},
 }
 
 // Row returns the event as a row of the table in docs/OPERATIONS.md.
--- a/internal/node/logqueue/logqueue.go
+++ b/internal/node/logqueue/logqueue.go
@@ -12,15 +12,18 @@
 // goroutine. Lines that find it full are dropped and counted, and the count is
 // written once there is room.
 type Queue struct {
-	lines   chan []byte
+	lines chan []byte
+	// dropped counts the lines that the log does not tell of yet, total all.
 	dropped atomic.Int64
+	total   atomic.Int64
+	closing chan struct{}
 	done    chan struct{}
 	target  io.Writer
 }
 
 // New returns a queue of at most bound lines in front of the target.
 func New(target io.Writer, bound int) *Queue {
-	queue := &Queue{lines: make(chan []byte, bound), done: make(chan struct{}), target: target}
+	queue := &Queue{lines: make(chan []byte, bound), closing: make(chan struct{}), done: make(chan struct{}), target: target}
 	go queue.run()
 	return queue
 }
@@ -32,13 +35,20 @@
 	case queue.lines <- copied:
 	default:
 		queue.dropped.Add(1)
+		queue.total.Add(1)
 	}
 	return len(line), nil
 }
 
-// Close writes out what waits, at most for the timeout.
+// Dropped returns the number of lines dropped since the start.
+func (queue *Queue) Dropped() int64 {
+	return queue.total.Load()
+}
+
+// Close writes out what waits, at most for the timeout. What is written later is
+// lost.
 func (queue *Queue) Close(timeout time.Duration) {
-	close(queue.lines)
+	close(queue.closing)
 	select {
 	case <-queue.done:
 	case <-time.After(timeout):
@@ -47,10 +57,27 @@
 
 func (queue *Queue) run() {
 	defer close(queue.done)
-	for line := range queue.lines {
-		if dropped := queue.dropped.Swap(0); dropped > 0 {
-			_, _ = fmt.Fprintf(queue.target, "event=log-lines-dropped count=%d\n", dropped)
+	for {
+		select {
+		case line := <-queue.lines:
+			queue.put(line)
+			continue
+		default:
+		}
+		select {
+		case line := <-queue.lines:
+			queue.put(line)
+		case <-queue.closing:
+			return
 		}
-		_, _ = queue.target.Write(line)
 	}
 }
+
+// put writes a line, and before it how many were dropped. There is nobody to tell
+// that standard output fails.
+func (queue *Queue) put(line []byte) {
+	if dropped := queue.dropped.Swap(0); dropped > 0 {
+		_, _ = fmt.Fprintf(queue.target, "event=log-lines-dropped count=%d\n", dropped)
+	}
+	_, _ = queue.target.Write(line)
+}
--- a/internal/node/telemetry/telemetry.go
+++ b/internal/node/telemetry/telemetry.go
@@ -27,6 +27,15 @@
 
 const reportEvery = time.Second
 
+// sanitizing keeps names of metrics as the text format wants them, and values of
+// tags as the log has them.
+var sanitizing = tally.SanitizeOptions{
+	NameCharacters:       prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters:      tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', '~'}}},
+	ReplacementCharacter: prometheus.DefaultSanitizerOpts.ReplacementCharacter,
+}
+
 // New returns telemetry that logs to the writer and traces the given share of
 // the requests, from 0 to 1.
 func New(writer io.Writer, process string, traceShare float64) *Telemetry {
@@ -41,7 +50,7 @@
 		Tags:                   map[string]string{"process": process},
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        &sanitizing,
 		OmitCardinalityMetrics: true,
 	}, reportEvery)
 	provider := sdktrace.NewTracerProvider(
