--- a/internal/core/dispatch/replay_load_test.go
+++ b/internal/core/dispatch/replay_load_test.go
@@ -94,9 +94,9 @@
 	var text strings.Builder
 	for _, class := range []string{"brief", "reply", "chat"} {
 		found := tally.classes[class]
-		fmt.Fprintf(&text, "%s: %d asked, %.3f in aim, %d late, %d refused, %d unfinished; ", class, found.asked, tally.share(class), found.late, found.refused, found.unfinished)
+		fmt.Fprintf(&text, "%s: %d asked, %.3f in aim, %d late, %d refused, %d unfinished; ",
+			class, found.asked, tally.share(class), found.late, found.refused, found.unfinished)
 	}
 	fmt.Fprintf(&text, "%.2f tokens read for each one asked", float64(tally.read)/float64(tally.asked))
 	return text.String()
 }
-
--- a/internal/policy/setapart/setapart.go
+++ b/internal/policy/setapart/setapart.go
@@ -26,7 +26,7 @@
 	// mostShare bounds the engines that are set apart.
 	mostShare = 0.5
 	// fallAfter is how long fewer engines must suffice before one is given back.
-	fallAfter = 1500 * time.Millisecond
+	fallAfter = 2500 * time.Millisecond
 )
 
 // New returns a split that sets nothing apart.
