Ask for placements once the list of upstreams is known

Cause: an entry that starts has connections to others before it has read the list of upstreams, asked at once, and dropped the answer, which named upstreams that it did not know. Its requests were then read anew wherever least waited.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -51,10 +51,12 @@
 	listPullDue time.Duration
 	// placementsPullDue is when a peer may be asked for the placements it knows of.
 	placementsPullDue time.Duration
-	draining          bool
-	drained           bool
-	moved             bool
-	freed             bool
+	// teller is the question for placements to the entry that connected last.
+	teller   *event.Send
+	draining bool
+	drained  bool
+	moved    bool
+	freed    bool
 	// admitDue is when waiting requests may be looked at again.
 	admitDue time.Duration
 	total    map[string]message.Use
@@ -140,6 +142,7 @@
 	dispatcher.admit(now)
 	dispatcher.moveFromSilent(now)
 	dispatcher.emit(dispatcher.mesh.Dial(now)...)
+	dispatcher.pullPlacements(now)
 	dispatcher.beat(now)
 	dispatcher.becomeReady()
 	dispatcher.reportDrained()
@@ -238,7 +241,7 @@
 	case event.LinkOpened:
 		dispatcher.emit(dispatcher.mesh.Open(now, input)...)
 		dispatcher.beatDue = min(dispatcher.beatDue, now)
-		dispatcher.pullPlacements(now, input)
+		dispatcher.wantPlacements(input)
 	case event.LinkClosed:
 		dispatcher.mesh.Close(now, input)
 	case event.Received:
--- a/internal/core/dispatch/placements.go
+++ b/internal/core/dispatch/placements.go
@@ -59,14 +59,20 @@
 	}
 }
 
-// pullPlacements asks the entry at the other end of a new connection for what it
-// knows: this entry has just started, or has missed news.
-func (dispatcher *Dispatcher) pullPlacements(now time.Duration, opened event.LinkOpened) {
-	if now < dispatcher.placementsPullDue || dispatcher.mesh.Known() > crowd {
+// wantPlacements notes an entry to be asked for what it knows, over a connection
+// that has just opened: this entry has started, or has missed news.
+func (dispatcher *Dispatcher) wantPlacements(opened event.LinkOpened) {
+	dispatcher.teller = &event.Send{Peer: opened.Peer, Link: opened.Link, Message: message.PlacementsPull{}}
+}
+
+// pullPlacements asks that entry once the upstreams are known that it will name.
+func (dispatcher *Dispatcher) pullPlacements(now time.Duration) {
+	if dispatcher.teller == nil || !dispatcher.listRead || now < dispatcher.placementsPullDue || dispatcher.mesh.Known() > crowd {
 		return
 	}
 	dispatcher.placementsPullDue = now + placementsPullEvery
-	dispatcher.emit(event.Send{Peer: opened.Peer, Link: opened.Link, Message: message.PlacementsPull{}})
+	dispatcher.emit(*dispatcher.teller)
+	dispatcher.teller = nil
 }
 
 // placements returns all that is known, for a peer.
--- a/internal/core/dispatch/placements_test.go
+++ b/internal/core/dispatch/placements_test.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"endivepost/internal/config/document"
+	"endivepost/internal/core/dispatch"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/mesh"
+	"endivepost/internal/policy/tiered"
 	"endivepost/internal/wire/message"
 )
 
@@ -188,3 +191,23 @@
 	bench.now += 50 * time.Millisecond
 	only[event.Attempt](t, bench.end(running[0], event.Whole))
 }
+
+// TestStartedEntryAsksInTime: an entry that has connections before it has read
+// the list of upstreams asks once it knows them, or it could not use the answer.
+func TestStartedEntryAsksInTime(t *testing.T) {
+	bench := newBench(t, 0, manyRetries)
+	fresh := dispatch.New(dispatch.Settings{
+		Domain: "a", Random: rand.New(rand.NewPCG(1, 1)), Waiting: tiered.New[message.RequestID](tiered.Floor{}), BeatEvery: 200 * time.Millisecond,
+		WaitForUpstream: 400 * time.Millisecond, Retries: manyRetries,
+		Mesh: mesh.Settings{Self: "self", Fanout: 4, SilenceLimit: time.Hour, RedialAfter: time.Second, Random: rand.New(rand.NewPCG(1, 1))},
+	})
+	bench.dispatcher = fresh
+	if early := sent[message.PlacementsPull](bench.step(event.LinkOpened{Peer: peer, Link: 1})); len(early) != 0 {
+		t.Error("asked before any upstream was known")
+	}
+	bench.now += 50 * time.Millisecond
+	list := event.UpstreamsRead{Upstreams: []event.Upstream{{Name: "u-0", Pool: "pool", Address: "u-0", Domain: "a", Revision: 1}}, Revision: 1}
+	if asked := sent[message.PlacementsPull](bench.step(list)); len(asked) != 1 {
+		t.Errorf("asked %d times once the upstreams were known", len(asked))
+	}
+}
