Ask engines what they keep where no entry can tell

Cause: after an outage that ends all entries the engines go on and keep what they have read, and nobody knows it.

An entry that is ready and has heard from no entry that has run for 5 s asks: each engine once, by one of the entries that are connected. The answer is used and told to the others.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -52,11 +52,15 @@
 	// placementsPullDue is when a peer may be asked for the placements it knows of.
 	placementsPullDue time.Duration
 	// teller is the question for placements to the entry that connected last.
-	teller   *event.Send
-	draining bool
-	drained  bool
-	moved    bool
-	freed    bool
+	teller *event.Send
+	// informed says that what engines keep was told or asked; askKeptDue is when
+	// they are asked.
+	informed   bool
+	askKeptDue time.Duration
+	draining   bool
+	drained    bool
+	moved      bool
+	freed      bool
 	// admitDue is when waiting requests may be looked at again.
 	admitDue time.Duration
 	total    map[string]message.Use
@@ -143,6 +147,7 @@
 	dispatcher.moveFromSilent(now)
 	dispatcher.emit(dispatcher.mesh.Dial(now)...)
 	dispatcher.pullPlacements(now)
+	dispatcher.askKept(now)
 	dispatcher.beat(now)
 	dispatcher.becomeReady()
 	dispatcher.reportDrained()
@@ -232,6 +237,8 @@
 		for _, name := range dispatcher.roster.Replace(now, input.Upstreams, input.Revision) {
 			dispatcher.noteUpstream(now, name, event.WholeList, true)
 		}
+	case event.KeptRead:
+		dispatcher.takeKept(input)
 	case event.StoreLost:
 		dispatcher.roster.StoreLost()
 	case event.StoreRegained:
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -29,7 +29,7 @@
 	case message.UpstreamList:
 		dispatcher.takeList(now, body)
 	case message.PlacementsPull:
-		dispatcher.emit(event.Send{Peer: received.Peer, Link: received.Link, Message: dispatcher.placements()})
+		dispatcher.emit(event.Send{Peer: received.Peer, Link: received.Link, Message: dispatcher.placements(now)})
 	case message.Placements:
 		dispatcher.takePlacements(body)
 	}
--- a/internal/core/dispatch/placements.go
+++ b/internal/core/dispatch/placements.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivepost/internal/core/event"
+	"endivepost/internal/policy/rendezvous"
 	"endivepost/internal/wire/message"
 )
 
@@ -13,6 +14,11 @@
 	announceFrom = 1000
 	// mostTold bounds the parts of one upstream in the answer to a pull.
 	mostTold = 128
+	// askKeptAfter is the time from when the entry is ready until engines are asked, if no other entry has told what they keep by then.
+	askKeptAfter = 400 * time.Millisecond
+	// informedAfter is the time from the start until an entry's answer stands for
+	// what all know: others that start with it may not have asked their engines yet.
+	informedAfter = 5 * time.Second
 	// placementsPullEvery is the time between asking one peer and another.
 	placementsPullEvery = time.Second
 )
@@ -48,6 +54,7 @@
 
 // takePlacements records what other entries had read at upstreams that are listed.
 func (dispatcher *Dispatcher) takePlacements(body message.Placements) {
+	dispatcher.informed = dispatcher.informed || body.Informed
 	for _, placement := range body.Placements {
 		upstream, listed := dispatcher.roster.Find(placement.Upstream)
 		if !listed {
@@ -76,8 +83,8 @@
 }
 
 // placements returns all that is known, for a peer.
-func (dispatcher *Dispatcher) placements() message.Placements {
-	var body message.Placements
+func (dispatcher *Dispatcher) placements(now time.Duration) message.Placements {
+	body := message.Placements{Informed: dispatcher.informed && now >= informedAfter}
 	for _, name := range dispatcher.upstreams.Keys() {
 		held, _ := dispatcher.upstreams.Get(name)
 		if held.kept == nil {
@@ -98,3 +105,42 @@
 		dispatcher.upstreams.Put(name, held)
 	}
 }
+
+// askKept has engines tell what they keep if no other entry could. It answers the
+// outage that ends all entries at once: the engines go on and keep what they have
+// read. Each engine is asked by one of the entries that are connected.
+func (dispatcher *Dispatcher) askKept(now time.Duration) {
+	if dispatcher.informed || !dispatcher.ready || now < dispatcher.askKeptDue {
+		return
+	}
+	if dispatcher.askKeptDue == 0 {
+		dispatcher.askKeptDue = now + askKeptAfter
+		return
+	}
+	dispatcher.informed = true
+	if dispatcher.mesh.Known() > crowd {
+		return
+	}
+	entries := dispatcher.mesh.Addresses()
+	for _, upstream := range dispatcher.roster.Rows() {
+		pool, _ := dispatcher.config.Document().Pool(upstream.Pool)
+		isEngine := pool.Engine.Batch > 0 && !upstream.Leaving
+		if isEngine && rendezvous.Top([]byte(upstream.Name), entries) == entries[0] {
+			dispatcher.emit(event.AskKept{Upstream: upstream.Name, Address: upstream.Address})
+		}
+	}
+}
+
+// takeKept records what an engine says it keeps, and passes on what is long
+// enough to matter.
+func (dispatcher *Dispatcher) takeKept(told event.KeptRead) {
+	placement := message.Placement{Upstream: told.Upstream}
+	for _, part := range told.Parts {
+		if part.Tokens >= announceFrom {
+			placement.Parts = append(placement.Parts, part)
+		}
+	}
+	body := message.Placements{Placements: []message.Placement{placement}}
+	dispatcher.takePlacements(body)
+	dispatcher.emit(dispatcher.mesh.Send(body)...)
+}
--- a/internal/core/dispatch/placements_test.go
+++ b/internal/core/dispatch/placements_test.go
@@ -211,3 +211,61 @@
 		t.Errorf("asked %d times once the upstreams were known", len(asked))
 	}
 }
+
+// asked returns the names of the engines that are to tell what they keep.
+func asked(outputs []event.Output) []string {
+	var names []string
+	for _, output := range outputs {
+		if ask, ok := output.(event.AskKept); ok {
+			names = append(names, ask.Upstream)
+		}
+	}
+	return names
+}
+
+// TestEnginesAreAsked: after an outage that ended all entries nobody knows what
+// the engines keep. Each engine is asked once, by one of the entries; what it says
+// decides, and goes to the others.
+func TestEnginesAreAsked(t *testing.T) {
+	const engines = 12
+	one, other := newEngineBench(t, engines), newEngineBench(t, engines)
+	one.step(event.LinkOpened{Peer: mesh.Accepted("zebra"), Link: 1})
+	if early := asked(one.step()); len(early) != 0 {
+		t.Errorf("asked %v before other entries could tell", early)
+	}
+	one.now += 500 * time.Millisecond
+	other.now += 500 * time.Millisecond
+	share := asked(one.step())
+	if all := asked(other.step()); len(all) != engines || len(share) == 0 || len(share) == engines {
+		t.Fatalf("alone %d engines were asked, with another entry %d of %d", len(all), len(share), engines)
+	}
+	one.now += time.Minute
+	if again := asked(one.step()); len(again) != 0 {
+		t.Errorf("asked again: %v", again)
+	}
+	told := sent[message.Placements](one.step(event.KeptRead{Upstream: "e-7", Parts: []message.PromptPart{{ID: 900, Tokens: 13_000}, {ID: 901, Tokens: 90}}}))
+	if len(told) != 1 || told[0].Placements[0].Upstream != "e-7" || len(told[0].Placements[0].Parts) != 1 {
+		t.Errorf("told %+v, want the long part at e-7", told)
+	}
+	one.sequence = 899
+	if got := only[event.Attempt](t, one.step(one.draft())); got.Upstream != "e-7" || got.View.Unread != 3000 {
+		t.Errorf("sent to %s with %d tokens to read, want e-7 and 3000", got.Upstream, got.View.Unread)
+	}
+}
+
+// TestEnginesAreNotAsked: plain services keep nothing, and an entry that has run
+// for a while tells one that starts.
+func TestEnginesAreNotAsked(t *testing.T) {
+	plain := newBench(t, 3, manyRetries)
+	plain.now += time.Second
+	if got := asked(plain.step()); len(got) != 0 {
+		t.Errorf("plain services were asked: %v", got)
+	}
+	starter := newEngineBench(t, 3)
+	starter.step(event.LinkOpened{Peer: peer, Link: 1})
+	starter.step(event.Received{Peer: peer, Link: 1, Message: message.Placements{Informed: true}})
+	starter.now += time.Second
+	if got := asked(starter.step()); len(got) != 0 {
+		t.Errorf("asked %v although another entry told", got)
+	}
+}
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -53,6 +53,19 @@
 // StoreRegained is the first answer after StoreLost.
 type StoreRegained struct{}
 
+// AskKept asks the shell to have an engine tell which prompt parts it keeps. The
+// shell reports KeptRead if it does.
+type AskKept struct {
+	Upstream string
+	Address  string
+}
+
+// KeptRead holds the prompt parts that an engine says it keeps.
+type KeptRead struct {
+	Upstream string
+	Parts    []PromptPart
+}
+
 // PeerFound names another entry by the address that it is reached at.
 type PeerFound struct{ Address string }
 
@@ -220,9 +233,11 @@
 func (StoreLost) input()         {}
 func (StoreRegained) input()     {}
 func (PeerFound) input()         {}
+func (KeptRead) input()          {}
 func (AttemptAnswered) input()   {}
 func (AttemptEnded) input()      {}
 func (AttemptProgressed) input() {}
 
 func (Attempt) output()  {}
+func (AskKept) output()  {}
 func (Believed) output() {}
--- a/internal/node/dialect/dialect.go
+++ b/internal/node/dialect/dialect.go
@@ -19,6 +19,10 @@
 	Judge(response *http.Response) Verdict
 	// Inbound removes from an upstream's header what is not for callers.
 	Inbound(header http.Header) http.Header
+	// KeptTarget is the target of the request for what an engine keeps.
+	KeptTarget() string
+	// ReadKept returns the prompt parts that the answer to it names.
+	ReadKept(body []byte) ([]event.PromptPart, error)
 }
 
 // Call is what a caller's request says of itself.
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -247,6 +247,8 @@
 		if found, ok := entry.findOrders(output.ID); ok {
 			found.stop()
 		}
+	case event.AskKept:
+		go entry.askKept(output)
 	case event.Send:
 		if found, ok := entry.findLink(output.Peer, output.Link); ok {
 			found.Send(output.Message)
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -27,6 +27,7 @@
 	UpstreamUsable   Name = "upstream-usable"
 	UpstreamLeft     Name = "upstream-left"
 	UpstreamSilent   Name = "upstream-silent"
+	KeptRead         Name = "kept-read"
 	RequestSuspected Name = "request-suspected"
 	RequestCleared   Name = "request-cleared"
 	LinkOpened       Name = "link-opened"
@@ -72,6 +73,7 @@
 	{UpstreamUsable, "an upstream may be sent work; source is whose word it was, version that of its row", "name, source, version"},
 	{UpstreamLeft, "an upstream may be sent nothing more", "name, source, version"},
 	{UpstreamSilent, "an upstream has work and sends nothing; version is for how long, in ms", "name, source, version"},
+	{KeptRead, "an engine was asked which prompt parts it keeps, since no entry could tell", "name, parts, error"},
 	{
 		RequestSuspected, "an upstream broke off while it ran a request; name is the request's fingerprint, version counts such upstreams",
 		"name, source, version",
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -47,6 +47,8 @@
 // news of the sender, or all that it knows as the answer to PlacementsPull.
 type Placements struct {
 	Placements []Placement `cbor:"1,keyasint"`
+	// Informed says, in an answer, that the sender has known of placements for long.
+	Informed bool `cbor:"2,keyasint,omitempty"`
 }
 
 // PlacementsPull asks an entry for all the placements that it knows of.
