Give engines 18,000 tokens ahead in place of 24,000

Cause: with prefixes known, an engine with less ahead no longer stands idle, and what waits at entries can still be put in order.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -13,7 +13,7 @@
 const (
 	// mostReading is the reading, in tokens, that all entries together give an
 	// engine ahead of time: what waits inside an engine is out of reach of order.
-	mostReading = 24_000
+	mostReading = 18_000
 	// memoryShare is the part of an engine's memory that requests may be sent to
 	// fill: the prefixes that they share with others need the rest.
 	memoryShare = 0.75
