--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -52,12 +51,6 @@
 const (
 	avoidFirst     = 250 * time.Millisecond
 	avoidDoublings = 4
-	// silentAfter is how long an upstream may send nothing at all while it has
-	// work, beside the time for reading its prompts.
-	silentAfter = 700 * time.Millisecond
-	// readingSlack multiplies the predicted time of reading, which grows with the
-	// length of the prompts.
-	readingSlack = 1.5
 	// mostHomes is the number of upstreams that a prefix is sent to by preference.
 	mostHomes = 2
 	// defaultCache is the size of a KV cache that the document does not state.
@@ -187,68 +180,15 @@
 	return max(held, int(share*float64(tokens(prompt.Shared()))))
 }
 
-// allUses adds what the other entries last reported to this entry's own work.
-func (dispatcher *Dispatcher) allUses() map[string]message.Use {
-	if dispatcher.total != nil {
-		return dispatcher.total
-	}
-	total := make(map[string]message.Use)
-	for _, name := range dispatcher.upstreams.Keys() {
-		row, _ := dispatcher.upstreams.Get(name)
-		total[name] = row.use
-	}
-	for _, beat := range dispatcher.mesh.Beats() {
-		for _, use := range beat.Uses {
-			sum := total[use.Upstream]
-			sum.Running += use.Running
-			sum.Reading += use.Reading
-			sum.Urgent += use.Urgent
-			sum.Memory += use.Memory
-			total[use.Upstream] = sum
-		}
-	}
-	dispatcher.total = total
-	return total
-}
-
-// usesChanged drops the sum of all uses, and has the requests that wait for room
-// looked at again.
-func (dispatcher *Dispatcher) usesChanged() {
-	dispatcher.total = nil
-	dispatcher.freed = true
-}
-
-// uses returns this entry's own work in progress, in a fixed order.
-func (dispatcher *Dispatcher) uses() []message.Use {
-	var uses []message.Use
+// forgetGone drops what is known of upstreams that the list no longer has.
+func (dispatcher *Dispatcher) forgetGone() {
 	for _, name := range dispatcher.upstreams.Keys() {
-		if row, _ := dispatcher.upstreams.Get(name); row.use.Running > 0 {
-			uses = append(uses, row.use)
+		held, _ := dispatcher.upstreams.Get(name)
+		if _, listed := dispatcher.roster.Find(name); !listed && held.use.Running == 0 {
+			dispatcher.upstreams.Delete(name)
+			dispatcher.total = nil
 		}
 	}
-	slices.SortFunc(uses, func(left, right message.Use) int { return cmp.Compare(left.Upstream, right.Upstream) })
-	return uses
-}
-
-// occupy records that the request was sent to its upstream.
-func (dispatcher *Dispatcher) occupy(now time.Duration, row requestRow) {
-	held := dispatcher.upstream(row.upstream)
-	if held.use.Running == 0 {
-		held.busySince = now
-	}
-	held.use.Running++
-	held.use.Reading += row.reading
-	held.use.Memory += row.memory(row.reading)
-	if row.urgent() {
-		held.use.Urgent++
-	}
-	if parts := row.request.Prompt.Parts; len(parts) > 0 {
-		dispatcher.announce(now, row, held)
-		held = held.WithMemory(dispatcher.cacheTokens(row.pool))
-		held.kept.Add(parts)
-	}
-	dispatcher.upstreams.Put(row.upstream, held)
-	dispatcher.total = nil
 }
 
 // WithMemory returns the row with a memory of what the upstream keeps.
@@ -265,81 +205,3 @@
 	}
 	return defaultCache
 }
-
-// release undoes occupy at the end of an attempt.
-func (dispatcher *Dispatcher) release(row requestRow) {
-	held := dispatcher.upstream(row.upstream)
-	held.use.Running--
-	if !row.answered {
-		held.use.Reading -= row.reading
-	}
-	held.use.Memory -= row.memory(row.reading)
-	if row.urgent() {
-		held.use.Urgent--
-	}
-	dispatcher.upstreams.Put(row.upstream, held)
-	dispatcher.usesChanged()
-}
-
-// forgetGone drops what is known of upstreams that the list no longer has.
-func (dispatcher *Dispatcher) forgetGone() {
-	for _, name := range dispatcher.upstreams.Keys() {
-		held, _ := dispatcher.upstreams.Get(name)
-		if _, listed := dispatcher.roster.Find(name); !listed && held.use.Running == 0 {
-			dispatcher.upstreams.Delete(name)
-			dispatcher.total = nil
-		}
-	}
-}
-
-// quietFor returns for how long the upstream has had work and sent nothing.
-func (row upstreamRow) quietFor(now time.Duration) time.Duration {
-	if row.use.Running == 0 {
-		return 0
-	}
-	return now - max(row.heard, row.busySince)
-}
-
-// silent says whether the upstream has sent nothing for longer than the work of
-// all entries explains.
-func (dispatcher *Dispatcher) silent(now time.Duration, name string, row upstreamRow) bool {
-	reading := enginechoice.ReadingTime(dispatcher.allUses()[name].Reading)
-	return row.quietFor(now) > silentAfter+time.Duration(readingSlack*float64(reading))
-}
-
-// moveFromSilent takes repeatable requests away from upstreams that have gone
-// silent: with a crash that nobody announces, connections stay open and nothing
-// comes. Requests that must not be repeated stay.
-func (dispatcher *Dispatcher) moveFromSilent(now time.Duration) {
-	if now < dispatcher.listenDue {
-		return
-	}
-	dispatcher.listenDue = now + listenEvery
-	for _, name := range dispatcher.upstreams.Keys() {
-		held, _ := dispatcher.upstreams.Get(name)
-		if now < held.avoidUntil || !dispatcher.silent(now, name, held) {
-			continue
-		}
-		dispatcher.upstreams.Put(name, held.WithFailure(now))
-		upstream, _ := dispatcher.roster.Find(name)
-		dispatcher.emit(event.Believed{
-			Belief: event.Silent, Name: name, Address: upstream.Address, Version: uint64(held.quietFor(now).Milliseconds()),
-		})
-		dispatcher.moveAll(now, name)
-	}
-}
-
-func (dispatcher *Dispatcher) moveAll(now time.Duration, name string) {
-	for _, id := range dispatcher.requests.Keys() {
-		row, _ := dispatcher.requests.Get(id)
-		if row.state != running || row.upstream != name || !row.mayRepeat(now) {
-			continue
-		}
-		if _, ok := dispatcher.choose(now, row.WithTried(name)); !ok {
-			continue
-		}
-		row.state = stopping
-		dispatcher.requests.Put(id, row)
-		dispatcher.emit(event.Stop{ID: id})
-	}
-}
