--- a/internal/command/verbs/operator.go
+++ b/internal/command/verbs/operator.go
@@ -178,7 +178,7 @@
 
 func statusCommand() *cli.Command {
 	return &cli.Command{Flags: operatorFlags(), Action: func(ctx *cli.Context) error {
-		entries, err := listed(ctx.Context, ctx.String("platform"))
+		entries, err := entriesOf(ctx)
 		if err != nil {
 			return err
 		}
