Bound what an upstream is blamed for, and name the pull of placements

Requests blamed for a crash that nothing cleared stayed in the row of an upstream that always breaks off.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -51,8 +51,9 @@
 	listPullDue time.Duration
 	// placementsPullDue is when a peer may be asked for the placements it knows of.
 	placementsPullDue time.Duration
-	// teller is the question for placements to the entry that connected last.
-	teller *event.Send
+	// pullFrom is the question for placements to the entry that connected last, until
+	// it is sent.
+	pullFrom *event.Send
 	// informed says that what engines keep was told or asked; askKeptDue is when
 	// they are asked.
 	informed   bool
--- a/internal/core/dispatch/placements.go
+++ b/internal/core/dispatch/placements.go
@@ -14,7 +14,8 @@
 	announceFrom = 1000
 	// mostTold bounds the parts of one upstream in the answer to a pull.
 	mostTold = 128
-	// askKeptAfter is the time from when the entry is ready until engines are asked, if no other entry has told what they keep by then.
+	// askKeptAfter is the time from when the entry is ready until engines are asked,
+	// if no other entry has told what they keep by then.
 	askKeptAfter = 400 * time.Millisecond
 	// informedAfter is the time from the start until an entry's answer stands for
 	// what all know: others that start with it may not have asked their engines yet.
@@ -69,17 +70,17 @@
 // wantPlacements notes an entry to be asked for what it knows, over a connection
 // that has just opened: this entry has started, or has missed news.
 func (dispatcher *Dispatcher) wantPlacements(opened event.LinkOpened) {
-	dispatcher.teller = &event.Send{Peer: opened.Peer, Link: opened.Link, Message: message.PlacementsPull{}}
+	dispatcher.pullFrom = &event.Send{Peer: opened.Peer, Link: opened.Link, Message: message.PlacementsPull{}}
 }
 
 // pullPlacements asks that entry once the upstreams are known that it will name.
 func (dispatcher *Dispatcher) pullPlacements(now time.Duration) {
-	if dispatcher.teller == nil || !dispatcher.listRead || now < dispatcher.placementsPullDue || dispatcher.mesh.Known() > crowd {
+	if dispatcher.pullFrom == nil || !dispatcher.listRead || now < dispatcher.placementsPullDue || dispatcher.mesh.Known() > crowd {
 		return
 	}
 	dispatcher.placementsPullDue = now + placementsPullEvery
-	dispatcher.emit(*dispatcher.teller)
-	dispatcher.teller = nil
+	dispatcher.emit(*dispatcher.pullFrom)
+	dispatcher.pullFrom = nil
 }
 
 // placements returns all that is known, for a peer.
--- a/internal/core/dispatch/suspicions.go
+++ b/internal/core/dispatch/suspicions.go
@@ -22,6 +22,19 @@
 	at          time.Duration
 }
 
+// WithBlame returns the row with a request whose answer it broke off. Those that
+// can no longer be cleared are left out.
+func (row upstreamRow) WithBlame(now time.Duration, fingerprint uint64) upstreamRow {
+	blamed := []blame{{fingerprint: fingerprint, at: now}}
+	for _, held := range row.blamed {
+		if now-held.at < restartAfter {
+			blamed = append(blamed, held)
+		}
+	}
+	row.blamed = blamed
+	return row
+}
+
 // crashes returns how many upstreams the request is blamed for, as seen here or
 // heard of, and how long that still lasts.
 func (dispatcher *Dispatcher) crashes(now time.Duration, row requestRow) (int, time.Duration) {
@@ -44,9 +57,7 @@
 	crashes, _ := dispatcher.crashes(now, row)
 	dispatcher.seen.Raise(now, row.request.Fingerprint, crashes+1)
 	dispatcher.noteSuspicion(event.Suspected, row.request.Fingerprint, crashes+1)
-	held := dispatcher.upstream(row.upstream)
-	held.blamed = append(held.blamed[:len(held.blamed):len(held.blamed)], blame{fingerprint: row.request.Fingerprint, at: now})
-	dispatcher.upstreams.Put(row.upstream, held)
+	dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithBlame(now, row.request.Fingerprint))
 }
 
 // absolve takes a sign of life of an upstream: an answer that it broke off just
