Notice an upstream that was started anew under its name

Cause: a process may start again under the name and address that the one before it had, without its row ever leaving the list. It holds nothing of before, and entries went on taking it to keep the prefixes. The rows say when the process started, which was not read.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -230,11 +230,12 @@
 func (dispatcher *Dispatcher) takeSurroundings(now time.Duration, input event.Input) {
 	switch input := input.(type) {
 	case event.UpstreamListed:
-		dispatcher.noteUpstream(now, input.Upstream.Name, event.PublishedRow, dispatcher.roster.List(now, input.Upstream))
+		dispatcher.listUpstream(now, event.PublishedRow, input.Upstream)
 	case event.UpstreamGone:
 		dispatcher.noteUpstream(now, input.Name, event.RowRemoved, dispatcher.roster.Remove(now, input.Name, input.Revision))
 	case event.UpstreamsRead:
 		dispatcher.listRead = true
+		dispatcher.forgetRestarted(input.Upstreams...)
 		for _, name := range dispatcher.roster.Replace(now, input.Upstreams, input.Revision) {
 			dispatcher.noteUpstream(now, name, event.WholeList, true)
 		}
@@ -257,6 +258,12 @@
 	}
 }
 
+// listUpstream takes a row of the published list.
+func (dispatcher *Dispatcher) listUpstream(now time.Duration, source event.Source, upstream event.Upstream) {
+	dispatcher.forgetRestarted(upstream)
+	dispatcher.noteUpstream(now, upstream.Name, source, dispatcher.roster.List(now, upstream))
+}
+
 // noteUpstream reports a change of an upstream's row for the log, and looks at
 // the requests that wait for one.
 func (dispatcher *Dispatcher) noteUpstream(now time.Duration, name string, source event.Source, changed bool) {
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -43,7 +43,7 @@
 	}
 	dispatcher.listRead = true
 	for _, upstream := range list.Upstreams {
-		dispatcher.noteUpstream(now, upstream.Name, event.OtherEntry, dispatcher.roster.List(now, upstream))
+		dispatcher.listUpstream(now, event.OtherEntry, upstream)
 	}
 }
 
--- a/internal/core/dispatch/placements.go
+++ b/internal/core/dispatch/placements.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// forgetRestarted forgets what upstreams kept whose rows say that another process
+// runs there than before.
+func (dispatcher *Dispatcher) forgetRestarted(upstreams ...event.Upstream) {
+	for _, upstream := range upstreams {
+		held, known := dispatcher.roster.Find(upstream.Name)
+		if known && upstream.Revision > held.Revision && upstream.Started != held.Started {
+			dispatcher.forgetKept(upstream.Name)
+		}
+	}
+}
+
 // askKept has engines tell what they keep if no other entry could. It answers the
 // outage that ends all entries at once: the engines go on and keep what they have
 // read. Each engine is asked by one of the entries that are connected.
--- a/internal/core/dispatch/placements_test.go
+++ b/internal/core/dispatch/placements_test.go
@@ -269,3 +269,23 @@
 		t.Errorf("asked %v although another entry told", got)
 	}
 }
+
+// TestRestartedUpstreamIsNoticed: an upstream whose process started anew under
+// its name and address, without having left, has lost what it had read.
+func TestRestartedUpstreamIsNoticed(t *testing.T) {
+	bench := newBench(t, 0, manyRetries)
+	row := event.Upstream{Name: "u-0", Pool: "pool", Address: "u-0", Domain: "a", Revision: 2, Started: 1000}
+	bench.step(event.UpstreamListed{Upstream: row})
+	bench.end(only[event.Attempt](t, bench.step(bench.brief(1))), event.Whole)
+	row.Revision = 3
+	bench.step(event.UpstreamListed{Upstream: row})
+	if got := only[event.Attempt](t, bench.step(bench.brief(1))); got.View.Unread != 3000 {
+		t.Errorf("%d tokens to read after a heartbeat, want 3000", got.View.Unread)
+	}
+	row.Revision = 4
+	row.Started = 9000
+	bench.step(event.UpstreamListed{Upstream: row})
+	if got := only[event.Attempt](t, bench.step(bench.brief(1))); got.View.Unread < 15_000 {
+		t.Errorf("%d tokens to read after a restart, want at least 15000 of 16000", got.View.Unread)
+	}
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -51,7 +51,7 @@
 	if known && upstream.Revision <= held.revision {
 		return false
 	}
-	changed := !known || held.upstream.Address != upstream.Address || held.leaving != upstream.Leaving
+	changed := !known || held.upstream.Address != upstream.Address || held.leaving != upstream.Leaving || held.upstream.Started != upstream.Started
 	next := row{upstream: upstream, revision: upstream.Revision, leaving: upstream.Leaving, leftAt: now, toldAt: now}
 	if known && held.leaving && upstream.Leaving {
 		next.leftAt = held.leftAt
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -71,4 +71,7 @@
 	Slots    int    `cbor:"5,keyasint,omitempty"`
 	Leaving  bool   `cbor:"6,keyasint,omitempty"`
 	Revision uint64 `cbor:"7,keyasint"`
+	// Started is when the upstream's process started by its own clock, in Unix
+	// milliseconds; 0 if it does not say. It tells one process from the next.
+	Started int64 `cbor:"8,keyasint,omitempty"`
 }
