Read what an engine keeps over a connection that was used before

Cause: the answer names no request, and on a reused connection such an answer is not taken since late refusals are told from it by that. An answer without an ID is the list; one with an ID is a late answer to a request.

--- a/internal/node/direct/kept.go
+++ b/internal/node/direct/kept.go
@@ -38,7 +38,7 @@
 	answer, err := entry.exchange.Do(ctx, exchange.Request{
 		Address: address, Method: http.MethodGet, Target: entry.settings.Dialect.KeptTarget(), Host: address,
 		Header: func() (http.Header, error) { return http.Header{}, nil },
-		Owner:  func(*http.Response) exchange.Owner { return exchange.Unnamed },
+		Owner:  entry.ownerOfKept,
 	})
 	if err != nil {
 		return nil, err
@@ -53,3 +53,12 @@
 	}
 	return entry.settings.Dialect.ReadKept(held.body)
 }
+
+// ownerOfKept tells the answer on what an engine keeps, which names no request,
+// from late answers to requests.
+func (entry *Entry) ownerOfKept(response *http.Response) exchange.Owner {
+	if entry.settings.Dialect.Judge(response).ID != "" {
+		return exchange.Theirs
+	}
+	return exchange.Ours
+}
