--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -44,8 +44,10 @@
 	retries  map[string]*retrywindow.Window
 	splits   map[string]*setapart.Split
 	rates    *outlier.Rates
-	views    map[string]poolView
-	ready    bool
+	// views is what this step believes of each pool.
+	views map[string]poolView
+	ready bool
+	// listRead says that the list of upstreams was read once, or told by a peer.
 	listRead bool
 	// listPullDue is when a peer may be asked for its list of upstreams.
 	listPullDue time.Duration
@@ -60,11 +62,14 @@
 	askKeptDue time.Duration
 	draining   bool
 	drained    bool
-	moved      bool
-	freed      bool
+	// moved says that upstreams changed, freed that one may have room again, since
+	// the requests that wait were last looked at.
+	moved bool
+	freed bool
 	// admitDue is when waiting requests may be looked at again.
 	admitDue time.Duration
-	total    map[string]message.Use
+	// total is the work of all entries at each upstream, nil if it must be summed anew.
+	total map[string]message.Use
 	// waitingWork is the tokens of the prompts that wait for room.
 	waitingWork float64
 	drain       *drainrate.Rate
--- a/internal/policy/enginechoice/enginechoice.go
+++ b/internal/policy/enginechoice/enginechoice.go
@@ -59,9 +59,10 @@
 )
 
 // Choose returns the index of the cheapest candidate, the first of equals, and
-// -1 without candidates. It answers two load patterns: long prompts that arrive
-// in a burst and delay the tokens of all streams beside them, and prompts with a
-// common prefix that are read again wherever they have not run before.
+// -1 without candidates. It answers three load patterns: long prompts that arrive
+// in a burst and delay the tokens of all streams beside them, prompts with a common
+// prefix that are read again wherever they have not run before, and short prompts
+// whose first token would be late behind long ones where their prefix is kept.
 func Choose(ask Ask, candidates []Candidate) int {
 	best := -1
 	least := 0.0
