--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -40,10 +40,10 @@
 	seen  *suspects.Table
 	heard *suspects.Table
 	// cleared are the fingerprints that the next beat clears of suspicion.
-	cleared  []uint64
-	retries  map[string]*retrywindow.Window
-	splits   map[string]*setapart.Split
-	rates    *outlier.Rates
+	cleared []uint64
+	retries map[string]*retrywindow.Window
+	splits  map[string]*setapart.Split
+	rates   *outlier.Rates
 	// views is what this step believes of each pool.
 	views map[string]poolView
 	ready bool
