Bound what an entry reads from an upstream that sends bytes without end

Cause: the reader of events compared its bound only after a line had ended, response heads were read without any bound, responses that were skipped or discarded were read to their end, and an unstreamed response was buffered up to 8 MiB.

Change: heads are read through a bounded reader, 64 KiB each, at most 16 informational ones and 2 late responses of 1 MiB before the response; an event with the comments before it has at most 256 KiB; a discarded body is read for at most 64 KiB and 50 ms, and its connection is reused only if the end was reached; an unstreamed response is buffered up to 64 KiB and relayed beyond that, up to 8 MiB. The handshake between entries, responses of the store and headers read by sidecars are bounded too. Comments in a stream are no progress any more. A response that was delivered in part is not requested again unless it is a stream.

TestCacheQueryAfterStart waited for the stub's count instead of the entry's receipt.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -137,6 +137,17 @@
 	}
 }
 
+// TestPartlyDeliveredResponse guards against sending a request again after a part of its
+// response was delivered and cannot be continued: only a stream can.
+func TestPartlyDeliveredResponse(t *testing.T) {
+	harness := newHarness(t, 4, ampleRetries)
+	attempt := onlyOutput[event.Attempt](t, harness.submit(idempotentClass, 7))
+	outputs := harness.step(event.AttemptEnded{ID: attempt.ID, Number: attempt.Number, Result: event.Interrupted, Delivered: true})
+	if finish := onlyOutput[event.Finish](t, outputs); finish.Outcome != message.Incomplete || finish.Attempts != 1 {
+		t.Errorf("got %v after %d attempts, want %v after 1", finish.Outcome, finish.Attempts, message.Incomplete)
+	}
+}
+
 // TestRequestThatCrashesUpstreams guards against a request that crashes one
 // upstream after the other: it reaches three at most, however often it is
 // submitted, and other requests are served.
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -95,8 +95,12 @@
 }
 
 // mayRepeat returns whether the request may be sent to one more upstream although
-// an earlier attempt may have run.
+// an earlier attempt may have run. Of a response that was delivered in part, only a
+// stream can be continued.
 func (row requestRow) mayRepeat(now time.Duration) bool {
+	if row.delivered && !row.request.Class.Streamed {
+		return false
+	}
 	return row.request.Class.Repeatable() && row.attemptsLeft() && now < row.deadline
 }
 
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +16,7 @@
 	"endivepost/internal/node/dialect"
 	"endivepost/internal/node/eventstream"
 	"endivepost/internal/node/exchange"
+	"endivepost/internal/node/loop"
 	"endivepost/internal/node/telemetry"
 )
 
@@ -24,8 +26,10 @@
 	timeoutMargin = 60 * time.Millisecond
 	// minTimeLeft is the minimum time before the deadline at which a request is still sent.
 	minTimeLeft = 2 * time.Millisecond
-	// maxBufferedBytes bounds a response that is buffered until it is complete.
-	maxBufferedBytes = 8 << 20
+	// maxBufferedBytes bounds a response that is buffered until it is complete. A longer
+	// one is relayed as it arrives, up to maxResponseBytes.
+	maxBufferedBytes = 64 << 10
+	maxResponseBytes = 8 << 20
 	// progressInterval is the time between two progress reports on a stream.
 	progressInterval = 250 * time.Millisecond
 )
@@ -33,7 +37,7 @@
 var (
 	errDeadline           = errors.New("the deadline of the request has passed")
 	errUnsigned           = errors.New("the upstream's response is not signed")
-	errTooLarge           = errors.New("the upstream's response is too large to buffer")
+	errTooLarge           = errors.New("the upstream's response is too large")
 	errCallerDisconnected = errors.New("the response could not be written to the caller")
 )
 
@@ -159,8 +163,7 @@
 	info := inflight.entry.settings.Dialect.ParseResponse(answer.Response)
 	switch {
 	case info.NotRun:
-		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxBufferedBytes))
-		complete = err == nil
+		complete = answer.Drain()
 		if info.Misdirected {
 			return event.Misdirected, nil
 		}
@@ -172,13 +175,19 @@
 		complete = err == nil
 		return event.Completed, err
 	}
-	buffered, err := readResponse(answer)
+	buffered, err := readResponse(answer, maxBufferedBytes)
+	isError := answer.StatusCode >= http.StatusInternalServerError
+	if errors.Is(err, errTooLarge) && !isError && !inflight.started {
+		err = inflight.relayLong(answer, buffered)
+		complete = err == nil
+		return event.Completed, err
+	}
 	if err != nil {
 		return event.Interrupted, err
 	}
 	complete = true
 	// Once the response to the caller has begun, as a stream, no other can be written.
-	if buffered.status >= http.StatusInternalServerError || inflight.started {
+	if isError || inflight.started {
 		inflight.buffered = buffered
 		return event.UpstreamError, nil
 	}
@@ -187,16 +196,48 @@
 	return event.Completed, buffered.write(inflight)
 }
 
-// readResponse reads a response into memory, up to maxBufferedBytes.
-func readResponse(answer *exchange.Answer) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
+// readResponse reads a response of at most limit bytes into memory. The error is
+// errTooLarge if more follow; the response then has the first limit + 1 bytes.
+func readResponse(answer *exchange.Answer, limit int64) (*bufferedResponse, error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	buffered := &bufferedResponse{status: answer.StatusCode, header: answer.Header, body: body}
+	if int64(len(body)) > limit {
+		return buffered, errTooLarge
+	}
+	return buffered, nil
+}
+
+// relayLong forwards a response that is too long to be buffered, after its first bytes.
+func (inflight *inflight) relayLong(answer *exchange.Answer, first *bufferedResponse) error {
+	if answer.ContentLength > maxResponseBytes {
+		return errTooLarge
+	}
+	if answer.ContentLength >= 0 {
+		inflight.writer.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	inflight.startResponse(answer)
+	rest := io.LimitReader(answer.Body, maxResponseBytes+1-int64(len(first.body)))
+	body := io.MultiReader(bytes.NewReader(first.body), rest)
+	count, err := io.Copy(callerWriter{inflight.writer}, body)
+	if err == nil && count > maxResponseBytes {
 		err = errTooLarge
 	}
+	return err
+}
+
+// callerWriter writes to the caller. Its errors wrap errCallerDisconnected.
+type callerWriter struct{ writer io.Writer }
+
+// Write implements io.Writer.
+func (caller callerWriter) Write(data []byte) (int, error) {
+	count, err := caller.writer.Write(data)
 	if err != nil {
-		return nil, err
+		err = errors.Join(errCallerDisconnected, err)
 	}
-	return &bufferedResponse{status: answer.StatusCode, header: answer.Header, body: body}, nil
+	return count, err
 }
 
 // relay forwards events as they arrive. The header is sent with the first event, so
@@ -204,43 +245,66 @@
 // events it is sent at the end.
 func (inflight *inflight) relay(attempt event.Attempt, answer *exchange.Answer) error {
 	reader := eventstream.New(answer.Body)
-	reportedAt := time.Time{}
+	progress := progress{loop: inflight.entry.loop, attempt: attempt}
 	for {
 		data, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			inflight.startStream(answer)
+			inflight.startResponse(answer)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		now := time.Now()
-		if reportedAt.IsZero() {
-			inflight.entry.loop.Post(event.AttemptFirstByte{ID: attempt.ID, Number: attempt.Number})
-		} else if now.Sub(reportedAt) > progressInterval {
-			inflight.entry.loop.Post(event.AttemptProgressed{ID: attempt.ID, Number: attempt.Number})
-		}
-		if reportedAt.IsZero() || now.Sub(reportedAt) > progressInterval {
-			reportedAt = now
+		if !eventstream.HasData(data) {
+			err = inflight.forwardComment(data)
+		} else {
+			progress.report(time.Now())
+			err = inflight.forwardEvent(answer, data)
 		}
-		if err := inflight.forwardEvent(answer, data); err != nil {
+		if err != nil {
 			return err
 		}
 	}
 }
 
+// progress reports the progress of a stream to the dispatcher.
+type progress struct {
+	loop       *loop.Loop
+	attempt    event.Attempt
+	reportedAt time.Time
+}
+
+// report reports the first event at once and of the others one per progressInterval.
+func (progress *progress) report(now time.Time) {
+	switch {
+	case progress.reportedAt.IsZero():
+		progress.loop.Post(event.AttemptFirstByte{ID: progress.attempt.ID, Number: progress.attempt.Number})
+	case now.Sub(progress.reportedAt) > progressInterval:
+		progress.loop.Post(event.AttemptProgressed{ID: progress.attempt.ID, Number: progress.attempt.Number})
+	default:
+		return
+	}
+	progress.reportedAt = now
+}
+
+// forwardComment writes a comment to the caller once the response has begun. It is no
+// progress of the response.
+func (inflight *inflight) forwardComment(data []byte) error {
+	if !inflight.started {
+		return nil
+	}
+	return inflight.writeFlushed(data)
+}
+
 // forwardEvent writes one event to the caller, unless an earlier attempt already did.
 func (inflight *inflight) forwardEvent(answer *exchange.Answer, data []byte) error {
 	id, numbered := eventstream.ID(data)
 	if numbered && !isNewer(id, inflight.lastEventID) {
 		return nil
 	}
-	inflight.startStream(answer)
-	if _, err := inflight.writer.Write(data); err != nil {
-		return errors.Join(errCallerDisconnected, err)
-	}
-	if err := http.NewResponseController(inflight.writer).Flush(); err != nil {
-		return errors.Join(errCallerDisconnected, err)
+	inflight.startResponse(answer)
+	if err := inflight.writeFlushed(data); err != nil {
+		return err
 	}
 	if numbered {
 		inflight.lastEventID = id
@@ -249,6 +313,17 @@
 	return nil
 }
 
+// writeFlushed sends data to the caller at once.
+func (inflight *inflight) writeFlushed(data []byte) error {
+	if _, err := (callerWriter{inflight.writer}).Write(data); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(inflight.writer).Flush(); err != nil {
+		return errors.Join(errCallerDisconnected, err)
+	}
+	return nil
+}
+
 // isNewer compares event IDs as numbers. If either is not a number, the event counts
 // as new.
 func isNewer(id, latest string) bool {
@@ -257,8 +332,8 @@
 	return err != nil || beforeErr != nil || number > before
 }
 
-// startStream sends the status and header to the caller once.
-func (inflight *inflight) startStream(answer *exchange.Answer) {
+// startResponse sends the status and header to the caller once.
+func (inflight *inflight) startResponse(answer *exchange.Answer) {
 	if inflight.started {
 		return
 	}
--- a/internal/node/direct/cache_query.go
+++ b/internal/node/direct/cache_query.go
@@ -18,6 +18,10 @@
 // meanwhile are a better guide to its cache than a late response.
 const cacheQueryTimeout = time.Second
 
+// maxCacheListBytes bounds an engine's list of cached prompt parts. The entry queries
+// many engines at once.
+const maxCacheListBytes = 2 << 20
+
 var errNoCacheList = errors.New("the engine did not return its cached prompt parts")
 
 // queryCache asks an engine for its cached prompt parts and posts a cache report to
@@ -29,8 +33,8 @@
 		line.WithError(err).Warn()
 		return
 	}
-	line.Info()
 	entry.loop.Post(event.CacheReported{Upstream: query.Upstream, Parts: parts})
+	line.Info()
 }
 
 func (entry *Entry) readCacheList(address string) (parts []event.PromptPart, err error) {
@@ -48,7 +52,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%w: status %d", errNoCacheList, answer.StatusCode)
 	}
-	response, err := readResponse(answer)
+	response, err := readResponse(answer, maxCacheListBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/exchange/connection.go
+++ b/internal/node/exchange/connection.go
@@ -5,18 +5,18 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
-	"sync"
 	"syscall"
 	"time"
+
+	"endivepost/internal/data/boundedreader"
 )
 
 // connection is one connection to an upstream. It carries one request at a time.
 type connection struct {
-	conn   net.Conn
-	reader *bufio.Reader
+	conn    net.Conn
+	bounded *boundedreader.Reader
+	reader  *bufio.Reader
 	// used is set once the connection has carried a request.
 	used        bool
 	idleTimeout time.Duration
@@ -39,7 +39,8 @@
 )
 
 func newConnection(conn net.Conn, idleTimeout time.Duration) *connection {
-	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), idleTimeout: idleTimeout}
+	bounded := boundedreader.New(conn)
+	return &connection{conn: conn, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleTimeout: idleTimeout}
 }
 
 func (connection *connection) close() {
@@ -132,63 +133,6 @@
 	return nil
 }
 
-var (
-	errTooManyLate  = errors.New("too many responses to earlier requests on the connection")
-	errUnidentified = errors.New("the response has no request ID and may belong to an earlier request")
-)
-
-// read returns the header of the response to the request. It skips informational
-// responses and late responses to earlier requests.
-func (connection *connection) read(request Request, reused bool) (*http.Response, error) {
-	for range maxResponsesRead {
-		response, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		switch match := request.Match(response); {
-		case match == Matched, match == Unidentified && !reused:
-			return response, nil
-		case match == Unidentified:
-			return nil, errUnidentified
-		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, err
-		}
-	}
-	return nil, errTooManyLate
-}
-
-// Answer is an upstream's response. Its body is read from the connection.
-type Answer struct {
-	*http.Response
-	connection *connection
-	client     *Client
-	address    string
-	stop       func() bool
-	once       sync.Once
-}
-
-// Close releases the connection. Complete means that the body was read to its end;
-// the connection is then reused unless it is broken, the response forbids it, its body
-// has no framing, unread bytes remain or the request was not written completely.
-func (answer *Answer) Close(complete bool) {
-	answer.once.Do(func() {
-		conn := answer.connection
-		alive := answer.stop()
-		idleFor, reusable := keepAlive(answer.Response, conn.idleTimeout)
-		framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-		if !alive || !complete || !reusable || !framed || conn.reader.Buffered() > 0 || !conn.wroteAll() {
-			conn.close()
-			return
-		}
-		conn.usableUntil = time.Now().Add(idleFor)
-		answer.client.putIdle(answer.address, conn)
-	})
-}
-
 // wroteAll reports whether the request was written completely.
 func (connection *connection) wroteAll() bool {
 	select {
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -78,14 +78,9 @@
 	ErrNoAnswer = errors.New("the request may have been sent and no response to it was received")
 )
 
-const (
-	// maxResponsesRead bounds the responses that are read for one request: its own, and
-	// before it informational ones and late ones to earlier requests, which are skipped.
-	maxResponsesRead = 3
-	// idleTimeoutMargin is how long before the upstream closes an idle connection we
-	// stop reusing it.
-	idleTimeoutMargin = 600 * time.Millisecond
-)
+// idleTimeoutMargin is how long before the upstream closes an idle connection we stop
+// reusing it.
+const idleTimeoutMargin = 600 * time.Millisecond
 
 // New returns a Client without open connections.
 func New(settings Settings) *Client {
--- a/internal/node/platform/platform.go
+++ b/internal/node/platform/platform.go
@@ -25,8 +25,9 @@
 
 const (
 	// readTimeout bounds a request, for Watch in addition to its wait.
-	readTimeout  = 3 * time.Second
-	maxListBytes = 16 << 20
+	readTimeout    = 3 * time.Second
+	maxHeaderBytes = 64 << 10
+	maxListBytes   = 16 << 20
 )
 
 // ErrNotModified is returned by Watch if no newer document was published in time.
@@ -34,7 +35,7 @@
 
 // New returns a client of the service at the base URL, which must not end in a slash.
 func New(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Document returns the published class document as JSON, at most document.MaxBytes.
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -54,6 +54,7 @@
 	readBytes          = 32 << 10
 	connectTimeout     = 2 * time.Second
 	maxIdleConnections = 1024
+	maxHeaderBytes     = 64 << 10
 	doneEvent          = "data: [DONE]"
 
 	// HeaderPriority carries the request's tier to the engine; 1 is the highest.
@@ -71,10 +72,15 @@
 // RunEnded and UpstreamChecked.
 func New(settings Settings, post func(event.Input)) *Upstream {
 	dialer := &net.Dialer{Timeout: connectTimeout}
+	shared := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	single := shared.Clone()
+	single.DisableKeepAlives = true
 	return &Upstream{
 		settings: settings,
-		shared:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}},
-		single:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}},
+		shared:   &http.Client{Transport: shared},
+		single:   &http.Client{Transport: single},
 		post:     post,
 		cancels:  make(map[message.RequestID]context.CancelFunc),
 		stopped:  make(map[message.RequestID]bool),
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -101,6 +101,38 @@
 	}
 }
 
+// TestEndlessHeader guards against reading a header that never ends.
+func TestEndlessHeader(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		}
+		for err == nil {
+			_, err = io.WriteString(conn, strings.Repeat("A: x\r\n", 1000))
+		}
+	}()
+	const timeout = 10 * time.Second
+	inputs := make(chan event.Input, 1)
+	upstream.New(upstream.Settings{
+		Address: listener.Addr().String(), Uptime: func() time.Duration { return 0 }, FirstByteTimeout: timeout, StallTimeout: timeout,
+		Tracer: noop.NewTracerProvider().Tracer(""),
+	}, func(input event.Input) { inputs <- input }).Start(request())
+	select {
+	case input := <-inputs:
+		if ended, ok := input.(event.RunEnded); !ok || ended.Outcome != message.Incomplete {
+			t.Errorf("got %+v, want a run that ended incomplete", input)
+		}
+	case <-time.After(timeout / 2):
+		t.Error("the run has not ended, want it to end once the header is too long")
+	}
+}
+
 // TestOutcomeOfResponse checks how each kind of response ends a run. Guards against a
 // truncated response that counts as complete, and against a stall or an error response
 // that counts as a crash. The column chunks includes the chunk with the header.
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/websocket"
 
+	"endivepost/internal/data/boundedreader"
 	"endivepost/internal/wire/message"
 )
 
@@ -40,9 +41,12 @@
 	// maxFrameBytes leaves a margin above the largest body of a caller, which one
 	// frame carries.
 	maxFrameBytes = 16 << 20
-	writeTimeout  = 5 * time.Second
-	dialTimeout   = 3 * time.Second
-	bufferBytes   = 4096
+	// maxHandshakeBytes bounds what is read until the handshake has succeeded: another
+	// service may have the peer's address by now.
+	maxHandshakeBytes = 64 << 10
+	writeTimeout      = 5 * time.Second
+	dialTimeout       = 3 * time.Second
+	bufferBytes       = 4096
 
 	headerProtocol = "Endivepost-Protocol"
 	headerName     = "Endivepost-Name"
@@ -68,18 +72,26 @@
 			err = fmt.Errorf("dial %s: %w", address, err)
 		}
 	}()
+	var bounded *boundedreader.Reader
 	dialer := websocket.Dialer{
 		HandshakeTimeout: dialTimeout,
 		ReadBufferSize:   bufferBytes,
 		WriteBufferSize:  bufferBytes,
 		NetDial: func(network, target string) (net.Conn, error) {
-			return net.DialTimeout(network, target, dialTimeout)
+			conn, err := net.DialTimeout(network, target, dialTimeout)
+			if err != nil {
+				return nil, err
+			}
+			bounded = boundedreader.New(conn)
+			bounded.Allow(maxHandshakeBytes)
+			return boundedConn{Conn: conn, reader: bounded}, nil
 		},
 	}
 	conn, response, err := dialer.Dial("ws://"+address+"/link", handshakeHeader(secret, self)) //nolint:bodyclose // the dialer reads it
 	if err != nil {
 		return nil, handshakeError(response, err)
 	}
+	bounded.AllowAll()
 	peer, err := readIdentity(response.Header)
 	if err != nil {
 		_ = conn.Close()
@@ -88,6 +100,17 @@
 	return newLink(conn, peer), nil
 }
 
+// boundedConn is a connection that is read through a bounded reader.
+type boundedConn struct {
+	net.Conn
+	reader *boundedreader.Reader
+}
+
+// Read implements net.Conn.
+func (conn boundedConn) Read(buffer []byte) (int, error) {
+	return conn.reader.Read(buffer)
+}
+
 // handshakeError returns the reason for a refused handshake by its status code.
 func handshakeError(response *http.Response, err error) error {
 	if response == nil {
--- a/internal/wire/link/link_test.go
+++ b/internal/wire/link/link_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/gorilla/websocket"
 
+	"endivepost/internal/data/boundedreader"
 	"endivepost/internal/wire/link"
 	"endivepost/internal/wire/message"
 )
@@ -137,3 +138,30 @@
 		t.Fatal("link to a peer that does not read: still open after one minute, want it closed")
 	}
 }
+
+// TestDialBoundsHandshake guards against reading a response to the handshake that never
+// ends, from another service that has the peer's address by now.
+func TestDialBoundsHandshake(t *testing.T) {
+	const maxTime = time.Second
+	for _, text := range []string{"x", "HTTP/1.1 200 ", "A: x\r\n"} {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(writer).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\nA: "))
+			for err == nil {
+				_, err = conn.Write([]byte(strings.Repeat(text, 1000)))
+			}
+		}))
+		started := time.Now()
+		if _, err := link.Dial(server.Listener.Addr().String(), secret, link.Identity{Name: "entry", Boot: 1}); !errors.Is(err, boundedreader.ErrTooLong) {
+			t.Errorf("%q without end: got error %v, want ErrTooLong", text, err)
+		}
+		if took := time.Since(started); took > maxTime {
+			t.Errorf("%q without end: the error took %s, want at most %s", text, took, maxTime)
+		}
+		server.Close()
+	}
+}
