Refuse what a draining entry cannot finish before it exits

Cause: a draining entry still accepts requests for 2.8 s, since the balancer still sends them, and a request that waited in its queue kept its full deadline of 15 s.

Change: DrainStarted says when the process exits. Requests in progress go on. Two tests whose loops never ran, because their clock starts at one minute, now run and pass.

Result: TestDrainRefusesWhatItCannotFinish failed before (the queued request got no answer) and passes.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -23,6 +23,7 @@
 	// minResponseTime is the least time to allow for a response; a request with
 	// less time left is aborted.
 	minResponseTime = 500 * time.Millisecond
+	drainTimeFactor = 2
 	// responseTimeSmoothing is the number of responses over which the response time
 	// of a class is averaged.
 	responseTimeSmoothing = 8
@@ -73,7 +74,7 @@
 // enqueue holds a request until an engine has capacity for it, or aborts it if too
 // little time is left for a response.
 func (dispatcher *Dispatcher) enqueue(now time.Duration, row requestRow, chosen choice) {
-	queueDeadline := row.deadline - dispatcher.responseTime(row)
+	queueDeadline := dispatcher.latestStart(row)
 	if now >= queueDeadline {
 		dispatcher.abort(now, row, message.Overload)
 		return
@@ -225,6 +226,17 @@
 	return max(dispatcher.responseTimes[row.request.Class.Name], minResponseTime)
 }
 
+// latestStart returns the latest time at which the request is worth sending. While this
+// process drains, the response must end before it exits; drainTimeFactor allows for
+// responses that take longer than the average.
+func (dispatcher *Dispatcher) latestStart(row requestRow) time.Duration {
+	latest := row.deadline - dispatcher.responseTime(row)
+	if dispatcher.exitAt > 0 {
+		latest = min(latest, dispatcher.exitAt-drainTimeFactor*dispatcher.responseTime(row))
+	}
+	return latest
+}
+
 // recordResponseTime adds a completed response to the class's average response
 // time.
 func (dispatcher *Dispatcher) recordResponseTime(now time.Duration, row requestRow) {
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -65,6 +65,8 @@
 	cacheQueryDue time.Duration
 	draining      bool
 	drained       bool
+	// exitAt is when the draining process exits, 0 if it waits for all work.
+	exitAt time.Duration
 	// upstreamsChanged and capacityFreed record that, since waiting requests were
 	// last examined, upstreams changed or one may have capacity again.
 	upstreamsChanged bool
@@ -243,7 +245,7 @@
 	case event.DocumentRead:
 		dispatcher.emitConfig(now, dispatcher.config.Offer(input.Raw))
 	case event.DrainStarted:
-		dispatcher.draining = true
+		dispatcher.startDrain(now, input.ExitIn)
 	default:
 		dispatcher.handleFleetInput(now, input)
 	}
@@ -328,6 +330,25 @@
 	dispatcher.emit(event.Ready{})
 }
 
+// startDrain shortens the wait of the queued requests: what cannot be answered before the
+// process exits is refused while another entry can still take it.
+func (dispatcher *Dispatcher) startDrain(now, exitIn time.Duration) {
+	dispatcher.draining = true
+	if exitIn <= 0 {
+		return
+	}
+	dispatcher.exitAt = now + exitIn
+	for _, id := range dispatcher.requests.Keys() {
+		row, _ := dispatcher.requests.Get(id)
+		if !row.queued {
+			continue
+		}
+		row.queueDeadline = dispatcher.latestStart(row)
+		dispatcher.requests.Put(id, row)
+		dispatcher.requestDue.Set(id, row.queueDeadline)
+	}
+}
+
 func (dispatcher *Dispatcher) reportDrained() {
 	if !dispatcher.draining || dispatcher.drained || dispatcher.requests.Len() > 0 {
 		return
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -269,7 +269,7 @@
 	}}
 	harness.step(event.LinkOpened{Peer: peer, Link: 1}, event.Received{Peer: peer, Link: 1, Message: heartbeat})
 	onlyOutput[event.Attempt](t, harness.submit(idempotentClass, 1))
-	for harness.now < 2*time.Second {
+	for end := harness.now + 2*time.Second; harness.now < end; {
 		harness.now += 50 * time.Millisecond
 		for _, output := range harness.step() {
 			if _, stopped := output.(event.StopRun); stopped {
@@ -336,7 +336,7 @@
 	harness.step(event.LinkOpened{Peer: peer, Link: 1}, event.Received{Peer: peer, Link: 1, Message: heartbeat})
 	attempt := onlyOutput[event.Attempt](t, harness.submit(idempotentClass, 1))
 	heartbeats := 0
-	for harness.now < 10*time.Second {
+	for end := harness.now + 10*time.Second; harness.now < end; {
 		harness.now += 100 * time.Millisecond
 		for _, output := range harness.step(event.AttemptProgressed{ID: attempt.ID, Number: attempt.Number}) {
 			send, ok := output.(event.Send)
@@ -365,6 +365,51 @@
 	}
 }
 
+// TestDrainRefusesWhatItCannotFinish guards against accepting or keeping a request whose
+// response would be cut off when the draining process exits. The caller is refused while
+// another entry can still serve it; requests that fit into the remaining time are served.
+func TestDrainRefusesWhatItCannotFinish(t *testing.T) {
+	const exitIn, responseTime = 7 * time.Second, 4 * time.Second
+	harness := newHarness(t, 1, ampleRetries)
+	slow, quick := idempotentClass, nonIdempotentClass
+	slow.WholeAnswer, slow.TimeLimit = 0, document.Duration(time.Minute)
+	slow.FirstToken, slow.Streamed, slow.Split = document.Duration(5*time.Second), true, []document.Share{{Pool: "engines", Weight: 1}}
+	raw, err := json.Marshal(document.Document{
+		Version: 2, SelfRegistration: true, Classes: []document.Class{slow, quick},
+		Pools: []document.Pool{{Name: "pool"}, {Name: "engines", Engine: document.Engine{Batch: 1}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine := event.Upstream{Name: "e-1", Pool: "engines", Slots: 1, Revision: 5}
+	onlyOutput[event.DocumentAccepted](t, harness.step(event.DocumentRead{Raw: raw}, event.UpstreamUpdated{Upstream: engine}))
+	submit := func(sequence uint64) []event.Output {
+		return harness.step(event.Submitted{Request: event.Request{ID: message.NewRequestID(9, sequence), Class: slow, Tier: 1, Fingerprint: sequence}})
+	}
+	for sequence := range uint64(20) {
+		attempt := onlyOutput[event.Attempt](t, submit(sequence))
+		harness.now += responseTime
+		harness.end(attempt, event.Completed)
+	}
+	running := onlyOutput[event.Attempt](t, submit(100))
+	if outputs := submit(101); len(outputs) > 0 {
+		t.Fatalf("second request on an engine with one slot: got outputs %+v, want none", outputs)
+	}
+	outputs := harness.step(event.DrainStarted{ExitIn: exitIn})
+	queued := onlyOutput[event.Finish](t, outputs)
+	if queued.ID != message.NewRequestID(9, 101) || queued.Outcome != message.NotRun || queued.RetryAfter > time.Second {
+		t.Errorf("queued request: got %+v, want not-run with a short Retry-After", queued)
+	}
+	if finish := onlyOutput[event.Finish](t, submit(102)); finish.Outcome != message.NotRun || finish.Reason != message.Draining {
+		t.Errorf("new request: got %+v, want not-run because of the drain", finish)
+	}
+	onlyOutput[event.Attempt](t, harness.submit(quick, 7))
+	harness.now += responseTime
+	if finish := onlyOutput[event.Finish](t, harness.end(running, event.Completed)); finish.Outcome != message.Complete {
+		t.Errorf("running request: got %+v, want it complete", finish)
+	}
+}
+
 // TestResumedStreamIsNotQueued guards against a pause in a stream that the caller
 // has received in part: after an interruption it goes to another engine at once,
 // whatever that one has pending.
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -159,6 +159,10 @@
 // place sends the request to an upstream, enqueues it if that one has no capacity,
 // or has it wait if no upstream is usable.
 func (dispatcher *Dispatcher) place(now time.Duration, row requestRow) {
+	if dispatcher.exitAt > 0 && row.attemptsSent == 0 && now >= dispatcher.latestStart(row) {
+		dispatcher.abort(now, row, message.Draining)
+		return
+	}
 	chosen, ok := dispatcher.choose(now, row)
 	if !ok {
 		dispatcher.waitForUpstream(now, row)
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -66,7 +66,10 @@
 // DrainStarted makes the core finish the work in flight and then emit Drained. With
 // sidecars, entries and sidecars refuse new requests meanwhile; an entry without
 // sidecars still serves them.
-type DrainStarted struct{}
+type DrainStarted struct {
+	// ExitIn is the time left until the process exits, 0 if it waits for all work.
+	ExitIn time.Duration
+}
 
 // Submitted hands a caller's request to the entry's core.
 type Submitted struct{ Request Request }
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -228,7 +228,7 @@
 	defer cancel()
 	entry.log(logevent.Draining).WithField("in-progress", entry.inProgress()).Info()
 	entry.draining.Store(true)
-	entry.loop.Post(event.DrainStarted{})
+	entry.loop.Post(event.DrainStarted{ExitIn: entry.settings.Grace - exitMargin})
 	time.Sleep(min(balancerDrainDelay, entry.settings.Grace-exitMargin))
 	if err := callers.Shutdown(ctx); err != nil {
 		entry.log(logevent.ShutdownCutOff).WithError(err).WithField("in-progress", entry.inProgress()).Warn()
