Find latency-sensitive classes and long responses from what is observed of engines

Cause: which streams are kept away from long prompts was decided by a constant, a target between tokens of at most 250 ms, and how many share an engine by another, 24. Besides, an overloaded engine that always has a prompt to prefill takes about 85 ms for each token of every stream: of long responses nearly a third were cut off at their deadline after their prefill.

Change: package sensitivity finds a pool's latency-sensitive classes: those whose target is shorter than the gaps that streams show while engines prefill (a high quantile, from a prior), and whose own prompts are short against it. The number of streams per dedicated engine follows from that target, the tokens per event and the batch. Package pace measures the time between events of an engine's streams; a request waits while it would not end by its deadline there, by the caller's estimate of its length. The pool's tokens per event come with the configuration. Lines of finished requests show the wait in the queue, late events and the longest gap.

--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -62,6 +62,8 @@
 	// CacheTokens is the size of the engine's KV cache in tokens. Running requests
 	// share it with cached prompt prefixes. With 0 the process assumes a size.
 	CacheTokens int `json:"cache-tokens,omitempty"`
+	// TokensPerEvent is the number of tokens in an event of a stream, 0 if unknown.
+	TokensPerEvent int `json:"tokens-per-event,omitempty"`
 }
 
 // Share is the weight of a pool in the split of a class's requests, relative to the
--- a/internal/config/document/validate.go
+++ b/internal/config/document/validate.go
@@ -171,9 +171,9 @@
 	for i, pool := range document.Pools {
 		path := fmt.Sprintf("pools[%d]", i)
 		errs = append(errs, nameErrors(path, pool.Name, seen)...)
-		if pool.MaxConnections < 0 || pool.Engine.Batch < 0 || pool.Engine.CacheTokens < 0 {
-			text := fmt.Sprintf("has a negative number (most-connections %d, batch %d, cache-tokens %d): leave it out or give one above zero",
-				pool.MaxConnections, pool.Engine.Batch, pool.Engine.CacheTokens)
+		if pool.MaxConnections < 0 || pool.Engine.Batch < 0 || pool.Engine.CacheTokens < 0 || pool.Engine.TokensPerEvent < 0 {
+			text := fmt.Sprintf("has a negative number (most-connections %d, batch %d, cache-tokens %d, tokens-per-event %d): leave it out or give one above zero",
+				pool.MaxConnections, pool.Engine.Batch, pool.Engine.CacheTokens, pool.Engine.TokensPerEvent)
 			errs = append(errs, invalid(path, text))
 		}
 	}
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -47,7 +47,7 @@
 // batch slot and enough KV cache, and it has nothing to prefill or stays within
 // maxPrefillTokens. A request to a plain service, one that bypasses the queue and an
 // interrupted stream that the caller has received in part are sent in any case.
-func (dispatcher *Dispatcher) hasCapacity(row requestRow, chosen choice) bool {
+func (dispatcher *Dispatcher) hasCapacity(now time.Duration, row requestRow, chosen choice) bool {
 	pool, ok := dispatcher.config.Document().Pool(row.pool)
 	if !ok || pool.Engine.Batch == 0 {
 		return true
@@ -58,6 +58,9 @@
 	if chosen.load.Running >= pool.Engine.Batch || !dispatcher.fitsKVCache(row, chosen.upstream.Name, chosen.load.UncachedTokens) {
 		return false
 	}
+	if !dispatcher.endsInTime(now, row, chosen.upstream.Name) {
+		return false
+	}
 	return chosen.load.PrefillTokens == 0 || chosen.load.PrefillTokens+chosen.load.UncachedTokens <= maxPrefillTokens
 }
 
@@ -162,7 +165,7 @@
 }
 
 func (row requestRow) queueGroup(now time.Duration) queueGroup {
-	group := queueGroup{pool: row.pool, latencySensitive: row.latencySensitive(), anyEngine: now >= row.spilloverAt(), tried: strings.Join(row.tried, " ")}
+	group := queueGroup{pool: row.pool, latencySensitive: row.latencySensitive, anyEngine: now >= row.spilloverAt(), tried: strings.Join(row.tried, " ")}
 	if parts := row.request.Prompt.Parts; len(parts) > 1 {
 		group.prefix = parts[len(parts)-2].ID
 	}
@@ -176,7 +179,7 @@
 // and one of the others for any other request.
 func (dispatcher *Dispatcher) chooseForQueued(now time.Duration, row requestRow) (choice, bool) {
 	chosen, found := dispatcher.choose(now, row)
-	if !found || dispatcher.hasCapacity(row, chosen) {
+	if !found || dispatcher.hasCapacity(now, row, chosen) {
 		return chosen, found
 	}
 	if now < row.spilloverAt() || dispatcher.overloaded(now, row.pool) {
@@ -185,8 +188,9 @@
 	dedicated := dispatcher.pool(now, row.pool).dedicated
 	return dispatcher.chooseFrom(now, row, func(upstream event.Upstream) bool {
 		load := dispatcher.allLoads()[upstream.Name]
-		fits := load.PrefillTokens+row.request.Prompt.Tokens <= maxPrefillTokens && dispatcher.fitsKVCache(row, upstream.Name, row.request.Prompt.Tokens)
-		return dedicated[upstream.Name] == row.latencySensitive() && fits
+		fits := load.PrefillTokens+row.request.Prompt.Tokens <= maxPrefillTokens && dispatcher.fitsKVCache(row, upstream.Name, row.request.Prompt.Tokens) &&
+			dispatcher.endsInTime(now, row, upstream.Name)
+		return dedicated[upstream.Name] == row.latencySensitive && fits
 	})
 }
 
--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -14,6 +14,8 @@
 		return
 	}
 	row.firstByteReceived = true
+	row.progressedAt = now
+	row.events = 1
 	dispatcher.requests.Put(input.ID, row)
 	dispatcher.removeFalseCrashes(now, row.upstream)
 	upstream := dispatcher.upstream(row.upstream).WithSuccess(now)
@@ -23,10 +25,16 @@
 }
 
 func (dispatcher *Dispatcher) handleProgress(now time.Duration, input event.AttemptProgressed) {
-	if row, ok := dispatcher.currentAttempt(input.ID, input.Number); ok {
-		dispatcher.removeFalseCrashes(now, row.upstream)
-		dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithActivity(now))
+	row, ok := dispatcher.currentAttempt(input.ID, input.Number)
+	if !ok {
+		return
 	}
+	dispatcher.removeFalseCrashes(now, row.upstream)
+	dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithActivity(now))
+	dispatcher.observeProgress(now, row, input.Events)
+	row.progressedAt = now
+	row.events += input.Events
+	dispatcher.requests.Put(input.ID, row)
 }
 
 // currentAttempt returns the row of the request if the numbered attempt is its
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 	"endivepost/internal/policy/order"
 	"endivepost/internal/policy/outlier"
 	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/policy/sensitivity"
 	"endivepost/internal/wire/message"
 )
 
@@ -47,6 +48,7 @@
 	cleared      []uint64
 	retryWindows map[string]*retrywindow.Window
 	sizers       map[string]*dedicated.Sizer
+	classifiers  map[string]*sensitivity.Classifier
 	outliers     *outlier.Detector
 	// pools caches the snapshot of each pool for the current step.
 	pools map[string]poolSnapshot
@@ -150,6 +152,7 @@
 		peerSuspects:  suspects.New(maxSuspects),
 		retryWindows:  make(map[string]*retrywindow.Window),
 		sizers:        make(map[string]*dedicated.Sizer),
+		classifiers:   make(map[string]*sensitivity.Classifier),
 		drainRate:     drainrate.New(drainRateWindow),
 		outliers:      outlier.New(),
 		pools:         make(map[string]poolSnapshot),
--- a/internal/core/dispatch/loads.go
+++ b/internal/core/dispatch/loads.go
@@ -64,7 +64,7 @@
 	upstream.load.Running++
 	upstream.load.PrefillTokens += row.prefillTokens
 	upstream.load.KVTokens += row.kvTokens(row.prefillTokens)
-	if row.latencySensitive() {
+	if row.latencySensitive {
 		upstream.load.LatencySensitive++
 	}
 	if parts := row.request.Prompt.Parts; len(parts) > 0 {
@@ -85,7 +85,7 @@
 		upstream.load.PrefillTokens -= row.prefillTokens
 	}
 	upstream.load.KVTokens -= row.kvTokens(row.prefillTokens)
-	if row.latencySensitive() {
+	if row.latencySensitive {
 		upstream.load.LatencySensitive--
 	}
 	dispatcher.upstreams.Put(row.upstream, upstream)
--- /dev/null
+++ b/internal/core/dispatch/pace.go
@@ -0,0 +1,16 @@
+package dispatch
+
+import "time"
+
+// endsInTime returns whether the response would end by its deadline if the upstream's
+// streams go on as they progress now. While long prompts keep an engine busy, a long
+// response sent there would be cut off at its deadline, and its prefill wasted.
+func (dispatcher *Dispatcher) endsInTime(now time.Duration, row requestRow, name string) bool {
+	gap := dispatcher.upstream(name).pace.Gap(now)
+	return now+time.Duration(dispatcher.expectedEvents(row)*float64(gap)) <= row.deadline
+}
+
+// expectedEvents returns the expected number of events of the response, 0 if unknown.
+func (dispatcher *Dispatcher) expectedEvents(row requestRow) float64 {
+	return float64(row.request.Prompt.ExpectedOutputTokens) / float64(dispatcher.tokensPerEvent(row.pool))
+}
--- a/internal/core/dispatch/pools.go
+++ b/internal/core/dispatch/pools.go
@@ -45,7 +45,9 @@
 	for _, name := range names {
 		latencySensitive += loads[name].LatencySensitive
 	}
-	size := dispatcher.sizer(pool).Size(now, dedicated.Load{LatencySensitive: latencySensitive, Engines: len(names)})
+	size := dispatcher.sizer(pool).Size(now, dedicated.Load{
+		LatencySensitive: latencySensitive, Engines: len(names), StreamsPerEngine: dispatcher.streamsPerEngine(pool),
+	})
 	engines := make(map[string]bool, size)
 	if size == 0 {
 		return engines
@@ -56,6 +58,14 @@
 	return engines
 }
 
+// streamsPerEngine returns how many latency-sensitive streams a dedicated engine of the
+// pool runs within their target.
+func (dispatcher *Dispatcher) streamsPerEngine(pool string) int {
+	found, _ := dispatcher.config.Document().Pool(pool)
+	perToken := dispatcher.classifier(pool).Strictest() / time.Duration(dispatcher.tokensPerEvent(pool))
+	return dedicated.StreamsPerEngine(perToken, found.Engine.Batch)
+}
+
 func (dispatcher *Dispatcher) sizer(pool string) *dedicated.Sizer {
 	found, ok := dispatcher.sizers[pool]
 	if !ok {
--- a/internal/core/dispatch/replay_scenario_test.go
+++ b/internal/core/dispatch/replay_scenario_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
 	"endivepost/internal/config/document"
+	"endivepost/internal/standin/batch"
 )
 
 // workload is the traffic of one class in a scenario.
@@ -67,6 +70,41 @@
 	}
 }
 
+// wordyWorkloads returns the workloads of a site with long responses: class plan with long
+// prompts, class summary with short prompts and the strictest target between tokens, and
+// class note with medium prompts and short responses.
+func wordyWorkloads() []workload {
+	target := func(name string, tier int, first, between, limit time.Duration) document.Class {
+		return document.Class{
+			Name: name, Tier: tier, FirstToken: document.Duration(first), BetweenTokens: document.Duration(between), TimeLimit: document.Duration(limit),
+			Streamed: true, Resumable: true, MaxAttempts: 2, Split: []document.Share{{Pool: "engines", Weight: 1}},
+		}
+	}
+	return []workload{
+		{
+			class: target("plan", 3, 2500*time.Millisecond, 1500*time.Millisecond, 15*time.Second), rate: 1.7, sharedTokens: 5382, prefixesPerEngine: 6,
+			ownTokens: tokenDistribution{6610, 0.9, 64_000}, outputTokens: tokenDistribution{384, 0.6, 1002}, timeout: 15 * time.Second,
+		},
+		{
+			class: target("summary", 1, 800*time.Millisecond, 400*time.Millisecond, 15*time.Second), rate: 2.07, sharedTokens: 198, prefixesPerEngine: 8,
+			ownTokens: tokenDistribution{628, 0.8, 3600}, outputTokens: tokenDistribution{294, 0.6, 954}, timeout: 15 * time.Second,
+		},
+		{
+			class: target("note", 2, 2*time.Second, 600*time.Millisecond, 3*time.Second), rate: 1.88, sharedTokens: 568, prefixesPerEngine: 8,
+			ownTokens: tokenDistribution{1800, 0.8, 7900}, outputTokens: tokenDistribution{24, 0.9, 90}, timeout: 3 * time.Second,
+		},
+	}
+}
+
+// wordyEngine returns engines with larger prefill chunks than the default, so that a
+// decode step beside a long prompt takes longer.
+func wordyEngine() batch.Settings {
+	return batch.Settings{
+		Step: 3790 * time.Microsecond, StepPerRequest: 20 * time.Microsecond, PrefillTokensPerMs: 56.6, AttentionPerMillionPairs: 367 * time.Microsecond,
+		PrefillChunk: 4096, MaxBatch: 64, CacheTokens: 626_000, TokensPerEvent: 6, Slowdown: 1,
+	}
+}
+
 // burst multiplies the rate of a class by factor, from one time to the other.
 type burst struct {
 	class    string
@@ -77,14 +115,15 @@
 // scenario describes a site, which is a fleet of engines and entries, and the load on it
 // in a replay.
 type scenario struct {
-	engines   int
-	entries   int
+	engines int
+	entries int
+	// engine has the settings of all engines.
+	engine    batch.Settings
 	workloads []workload
 	bursts    []burst
 	duration  time.Duration
 	seed      uint64
-	// hotPrefixShare is the share of the requests of class brief that have the same
-	// prefix.
+	// hotPrefixShare is the share of the requests of class brief that have the same prefix.
 	hotPrefixShare float64
 	// slowEngines is the number of engines that are slower by the factor slowdown.
 	slowEngines int
@@ -117,7 +156,7 @@
 // String returns the counts of each class and the prefilled tokens per prompt token.
 func (results results) String() string {
 	var text strings.Builder
-	for _, class := range []string{"brief", "reply", "chat"} {
+	for _, class := range slices.Sorted(maps.Keys(results.classes)) {
 		found := results.classes[class]
 		fmt.Fprintf(&text, "%s: %d submitted, %.3f within target, %d late, %d rejected, %d unfinished; ",
 			class, found.submitted, results.share(class), found.late, found.rejected, found.unfinished)
--- a/internal/core/dispatch/replay_test.go
+++ b/internal/core/dispatch/replay_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -71,17 +72,27 @@
 	input event.Input
 }
 
-const linkDelay = time.Millisecond
+const (
+	linkDelay = time.Millisecond
+	// maxCallerTimeout is the longest time after which a caller disconnects.
+	maxCallerTimeout = 15 * time.Second
+	// estimateSpread is the standard deviation of the logarithm of a caller's estimate of
+	// the length of the response, divided by its length.
+	estimateSpread = 0.6
+)
 
 func runScenario(t *testing.T, scenario scenario) results {
 	t.Helper()
 	replay := &replay{
 		scenario: scenario, random: rand.New(rand.NewPCG(scenario.seed, scenario.seed)), requests: make(map[string]*replayRequest),
 		inboxes: make([]inbox, scenario.entries),
-		results: results{classes: map[string]*classCounts{"brief": {}, "reply": {}, "chat": {}}},
+		results: results{classes: make(map[string]*classCounts)},
+	}
+	for _, workload := range scenario.workloads {
+		replay.results.classes[workload.class.Name] = &classCounts{}
 	}
 	for i := range scenario.engines {
-		settings := batch.DefaultSettings()
+		settings := scenario.engine
 		if i < scenario.slowEngines {
 			settings.Slowdown = slowdown
 		}
@@ -105,7 +116,9 @@
 		Retries: retrywindow.Settings{Ratio: 0.2, Slack: 50, Span: 10 * time.Second},
 	})
 	published := document.Document{Version: 1, SelfRegistration: true, Pools: []document.Pool{
-		{Name: "engines", Engine: document.Engine{Batch: batch.DefaultSettings().MaxBatch, CacheTokens: batch.DefaultSettings().CacheTokens}},
+		{Name: "engines", Engine: document.Engine{
+			Batch: replay.scenario.engine.MaxBatch, CacheTokens: replay.scenario.engine.CacheTokens, TokensPerEvent: replay.scenario.engine.TokensPerEvent,
+		}},
 	}}
 	for _, workload := range replay.scenario.workloads {
 		published.Classes = append(published.Classes, workload.class)
@@ -135,8 +148,7 @@
 	for i, workload := range replay.scenario.workloads {
 		next[i] = replay.gap(workload, 0)
 	}
-	// No caller of siteWorkloads waits longer than 10 s.
-	end := replay.scenario.duration + 10*time.Second
+	end := replay.scenario.duration + maxCallerTimeout
 	for now := time.Duration(0); now < end; now = replay.nextDue(next, end) {
 		for i, workload := range replay.scenario.workloads {
 			for next[i] <= now && now < replay.scenario.duration {
@@ -201,11 +213,13 @@
 		prefix = 0
 	}
 	own := workload.ownTokens.draw(replay.random)
+	output := workload.outputTokens.draw(replay.random)
 	request := &replayRequest{
 		workload: workload, entry: replay.random.IntN(replay.scenario.entries), id: message.NewRequestID(1, replay.sequence),
-		arrived: now, output: workload.outputTokens.draw(replay.random), lastOutput: now,
+		arrived: now, output: output, lastOutput: now,
 		prompt: event.Prompt{
-			Tokens: workload.sharedTokens + own,
+			Tokens: workload.sharedTokens + own, MaxOutputTokens: int(workload.outputTokens.max),
+			ExpectedOutputTokens: max(1, int(float64(output)*math.Exp(estimateSpread*replay.random.NormFloat64()))),
 			// The ID of a shared part is unique to the prefix and the class, that of an own
 			// part to the request.
 			Parts: []event.PromptPart{
@@ -259,7 +273,7 @@
 		limit = time.Duration(class.FirstToken)
 		replay.deliver(now, request.entry, event.AttemptFirstByte{ID: request.id, Number: request.attempt})
 	} else {
-		replay.deliver(now, request.entry, event.AttemptProgressed{ID: request.id, Number: request.attempt})
+		replay.deliver(now, request.entry, event.AttemptProgressed{ID: request.id, Number: request.attempt, Events: 1})
 	}
 	request.late = request.late || now-request.lastOutput > limit
 	request.started = true
@@ -358,7 +372,7 @@
 // prefixes wait behind those for the one engine that has cached it.
 func TestHotPrefix(t *testing.T) {
 	row := replayCase{minChat: 0.88, minOthers: 0.85, scenario: scenario{
-		engines: 18, entries: 5, workloads: siteWorkloads(1), duration: 24 * time.Second, hotPrefixShare: 0.3,
+		engines: 18, entries: 5, engine: batch.DefaultSettings(), workloads: siteWorkloads(1), duration: 24 * time.Second, hotPrefixShare: 0.3,
 		bursts: []burst{{"brief", 8 * time.Second, 14 * time.Second, 2}},
 	}}
 	for row.scenario.seed = 1; row.scenario.seed <= replaySeeds; row.scenario.seed++ {
@@ -375,11 +389,16 @@
 		{"chat", 11 * time.Second, 16 * time.Second, 1.9},
 		{"brief", 17500 * time.Millisecond, 22 * time.Second, 2.3},
 	}
+	load := func(engines, entries int, scale float64, bursts ...burst) scenario {
+		return scenario{
+			engines: engines, entries: entries, engine: batch.DefaultSettings(), workloads: siteWorkloads(scale), bursts: bursts, duration: 24 * time.Second,
+		}
+	}
 	cases := []replayCase{
-		{"steady, 18 engines", scenario{engines: 18, entries: 5, workloads: siteWorkloads(0.65), duration: 24 * time.Second}, 0.95, 0.85},
-		{"steady, 9 engines", scenario{engines: 9, entries: 4, workloads: siteWorkloads(0.65), duration: 24 * time.Second}, 0.95, 0.85},
-		{"bursts, 18 engines", scenario{engines: 18, entries: 5, workloads: siteWorkloads(1.1), bursts: bursts, duration: 24 * time.Second}, 0.88, 0.85},
-		{"bursts, 9 engines", scenario{engines: 9, entries: 4, workloads: siteWorkloads(1.1), bursts: bursts, duration: 24 * time.Second}, 0.88, 0.85},
+		{"steady, 18 engines", load(18, 5, 0.65), 0.95, 0.85},
+		{"steady, 9 engines", load(9, 4, 0.65), 0.95, 0.85},
+		{"bursts, 18 engines", load(18, 5, 1.1, bursts...), 0.88, 0.85},
+		{"bursts, 9 engines", load(9, 4, 1.1, bursts...), 0.88, 0.85},
 	}
 	for _, row := range cases {
 		t.Run(row.name, func(t *testing.T) {
@@ -395,9 +414,65 @@
 // six. Requests must go to the other engines: the bounds are those of bursts.
 func TestSlowEngines(t *testing.T) {
 	row := replayCase{minChat: 0.88, minOthers: 0.85, scenario: scenario{
-		engines: 18, entries: 5, workloads: siteWorkloads(0.65), duration: 24 * time.Second, slowEngines: 4,
+		engines: 18, entries: 5, engine: batch.DefaultSettings(), workloads: siteWorkloads(0.65), duration: 24 * time.Second, slowEngines: 4,
 	}}
 	for row.scenario.seed = 1; row.scenario.seed <= replaySeeds; row.scenario.seed++ {
 		row.check(t)
 	}
 }
+
+// longResponses returns bursts of long prompts with long responses beside streams with
+// short prompts, on engines whose decode steps become long while they prefill.
+func longResponses(scale float64) scenario {
+	workloads := wordyWorkloads()
+	for i := range workloads {
+		workloads[i].rate *= scale
+	}
+	return scenario{
+		engines: 12, entries: 3, engine: wordyEngine(), workloads: workloads, duration: 22 * time.Second,
+		bursts: []burst{
+			{"plan", 500 * time.Millisecond, 9500 * time.Millisecond, 2.4},
+			{"summary", 11 * time.Second, 16 * time.Second, 1.9},
+			{"plan", 17500 * time.Millisecond, 21 * time.Second, 2.3},
+		},
+	}
+}
+
+// TestLongResponsesInBursts guards against streams that miss their target between tokens
+// beside long prompts, because the target is longer than that of other deployments. The
+// bounds are the service targets: 90 % of the urgent streams and 60 % of any class complete
+// within their targets.
+func TestLongResponsesInBursts(t *testing.T) {
+	const minUrgent, minAny = 0.9, 0.6
+	t.Parallel()
+	load := longResponses(1)
+	for load.seed = 1; load.seed <= replaySeeds; load.seed++ {
+		results := runScenario(t, load)
+		t.Log(results)
+		if got := results.share("summary"); got < minUrgent {
+			t.Errorf("seed %d: summary: %.3f within target, want at least %.2f", load.seed, got, minUrgent)
+		}
+		for _, class := range []string{"plan", "note"} {
+			if got := results.share(class); got < minAny {
+				t.Errorf("seed %d: %s: %.3f within target, want at least %.2f", load.seed, class, got, minAny)
+			}
+		}
+	}
+}
+
+// TestLongResponsesUnderOverload guards against starting responses that are then cut off
+// at their deadline, since prefills for others slow down the streams of an overloaded
+// engine. At most one in 20 callers may wait until its deadline without a whole response.
+func TestLongResponsesUnderOverload(t *testing.T) {
+	const maxUnfinished = 0.05
+	t.Parallel()
+	load := longResponses(1.6)
+	for load.seed = 1; load.seed <= replaySeeds; load.seed++ {
+		results := runScenario(t, load)
+		t.Log(results)
+		plans := results.classes["plan"]
+		if got := float64(plans.unfinished) / float64(plans.submitted); got > maxUnfinished {
+			t.Errorf("seed %d: plan: %.3f unfinished at the deadline, want at most %.2f", load.seed, got, maxUnfinished)
+		}
+	}
+}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -45,6 +45,10 @@
 	// the request was sent to it.
 	prefillTokens     int
 	firstByteReceived bool
+	// progressedAt is when the response was last reported to progress, events how many
+	// events of the attempt had come by then.
+	progressedAt time.Duration
+	events       int
 	// delivered is true once part of a response has reached the caller, mayHaveRun
 	// once an attempt may have run at an upstream.
 	delivered  bool
@@ -53,15 +57,12 @@
 	// false if it waits for a usable upstream.
 	queued        bool
 	queueDeadline time.Duration
+	// latencySensitive is true if the request's class was latency-sensitive on arrival.
+	latencySensitive bool
 	// load is the load snapshot of the upstream that was chosen last.
 	load event.LoadSnapshot
 }
 
-// latencySensitiveTarget is the longest target for inter-token latency of a stream
-// that counts as latency-sensitive: it would be missed while long prompts are
-// prefilled on the stream's engine.
-const latencySensitiveTarget = 250 * time.Millisecond
-
 // maxRequestTime bounds a request if neither its caller nor its class sets a
 // timeout.
 const maxRequestTime = 10 * time.Minute
@@ -73,11 +74,6 @@
 	return row
 }
 
-func (row requestRow) latencySensitive() bool {
-	between := time.Duration(row.request.Class.BetweenTokens)
-	return between > 0 && between <= latencySensitiveTarget
-}
-
 // kvTokens returns the most tokens that the request adds to an engine's KV cache:
 // its uncached prompt tokens there and its longest output.
 func (row requestRow) kvTokens(uncached int) int {
@@ -125,6 +121,7 @@
 		return
 	}
 	row.pool = dispatcher.pickPool(request.Class.Split)
+	row.latencySensitive = dispatcher.latencySensitive(now, row)
 	dispatcher.place(now, row)
 }
 
@@ -169,7 +166,7 @@
 		return
 	}
 	row.load = chosen.load
-	if !dispatcher.hasCapacity(row, chosen) {
+	if !dispatcher.hasCapacity(now, row, chosen) {
 		dispatcher.enqueue(now, row, chosen)
 		return
 	}
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -7,6 +7,7 @@
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/policy/enginechoice"
+	"endivepost/internal/policy/pace"
 	"endivepost/internal/policy/prefixcache"
 	"endivepost/internal/policy/rendezvous"
 	"endivepost/internal/wire/message"
@@ -28,6 +29,8 @@
 	// cache models the upstream's prefix cache; nil while no prompt part is known to
 	// be cached there.
 	cache *prefixcache.Cache
+	// pace is that of this entry's own streams there.
+	pace pace.Pace
 	// crashSuspects are the requests whose responses it interrupted lately.
 	crashSuspects []crashSuspect
 }
@@ -144,7 +147,7 @@
 		}
 	}
 	best := enginechoice.Choose(enginechoice.Request{
-		LatencySensitive: row.latencySensitive(), HasDedicated: len(dedicated) > 0, FirstTokenBudget: row.firstTokenBudget(now),
+		LatencySensitive: row.latencySensitive, HasDedicated: len(dedicated) > 0, FirstTokenBudget: row.firstTokenBudget(now),
 	}, candidates)
 	chosen := candidates[best]
 	return choice{upstream: rotated[best], load: event.LoadSnapshot{
@@ -164,7 +167,7 @@
 	}
 	var names []string
 	for _, upstream := range upstreams {
-		if dedicated[upstream.Name] == row.latencySensitive() {
+		if dedicated[upstream.Name] == row.latencySensitive {
 			names = append(names, upstream.Name)
 		}
 	}
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -15,9 +15,11 @@
 	// session, have the last one.
 	Parts []PromptPart
 	// Tokens is the length of the whole prompt, MaxOutputTokens the maximum length of
-	// the response.
-	Tokens          int
-	MaxOutputTokens int
+	// the response. ExpectedOutputTokens is the caller's estimate of its length, 0 without
+	// one.
+	Tokens               int
+	MaxOutputTokens      int
+	ExpectedOutputTokens int
 }
 
 // Shared returns the parts that other prompts may share: all but the last.
@@ -83,6 +85,8 @@
 type AttemptProgressed struct {
 	ID     message.RequestID
 	Number int
+	// Events is the number of events since the first one or the last report.
+	Events int
 }
 
 // AttemptEnded reports how an attempt ended.
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -272,19 +272,23 @@
 	loop       *loop.Loop
 	attempt    event.Attempt
 	reportedAt time.Time
+	// events counts the events since the last report.
+	events int
 }
 
 // report reports the first event at once and of the others one per progressInterval.
 func (progress *progress) report(now time.Time) {
+	progress.events++
 	switch {
 	case progress.reportedAt.IsZero():
 		progress.loop.Post(event.AttemptFirstByte{ID: progress.attempt.ID, Number: progress.attempt.Number})
 	case now.Sub(progress.reportedAt) > progressInterval:
-		progress.loop.Post(event.AttemptProgressed{ID: progress.attempt.ID, Number: progress.attempt.Number})
+		progress.loop.Post(event.AttemptProgressed{ID: progress.attempt.ID, Number: progress.attempt.Number, Events: progress.events})
 	default:
 		return
 	}
 	progress.reportedAt = now
+	progress.events = 0
 }
 
 // forwardComment writes a comment to the caller once the response has begun. It is no
--- a/internal/node/direct/observe.go
+++ b/internal/node/direct/observe.go
@@ -37,9 +37,13 @@
 // countEvent counts an event written to the caller, also as late if its delay after the
 // previous one exceeded the class's target between tokens.
 func (inflight *inflight) countEvent(now time.Time) {
-	gap := time.Duration(inflight.resolved.Class.BetweenTokens)
-	if inflight.events > 0 && gap > 0 && now.Sub(inflight.lastEventAt) > gap {
-		inflight.lateEvents++
+	target := time.Duration(inflight.resolved.Class.BetweenTokens)
+	if inflight.events > 0 {
+		gap := now.Sub(inflight.lastEventAt)
+		inflight.longestGap = max(inflight.longestGap, gap)
+		if target > 0 && gap > target {
+			inflight.lateEvents++
+		}
 	}
 	inflight.events++
 	inflight.lastEventAt = now
@@ -67,7 +71,8 @@
 	entry.log(logevent.RequestFinished).WithFields(finish.Load.Fields()).WithFields(logrus.Fields{
 		"request": inflight.info.ID, "class": inflight.resolved.Class.Name, "account": inflight.resolved.Account, "tier": inflight.resolved.Tier,
 		"outcome": finish.Outcome.String(), "reason": finish.Reason.String(), "status": status, "upstream": finish.Upstream,
-		"attempts": finish.Attempts, "events": inflight.events, "first-ms": inflight.timeToFirst.Milliseconds(),
+		"attempts": finish.Attempts, "events": inflight.events, "first-ms": inflight.timeToFirst.Milliseconds(), "waited-ms": inflight.waited.Milliseconds(),
+		"late-events": inflight.lateEvents, "longest-gap-ms": inflight.longestGap.Milliseconds(),
 		"took-ms": took.Milliseconds(), "version": inflight.version, "retry-after-ms": finish.RetryAfter.Milliseconds(),
 	}).Info()
 }
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -272,7 +272,10 @@
 	waited      time.Duration
 	timeToFirst time.Duration
 	lastEventAt time.Time
-	lateEvents  int
+	// longestGap is the longest time between two events, lateEvents the number of events
+	// that came later after the previous one than the class's target.
+	longestGap time.Duration
+	lateEvents int
 }
 
 // finish sends the final response to the caller, unless it is already sent.
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -96,7 +96,7 @@
 	},
 	{
 		RequestFinished, "a request has its final outcome; lines of requests that completed at the first attempt are limited to a number per second",
-		"request, class, account, tier, outcome, reason, status, upstream, attempts, events, first-ms, took-ms, version, " +
+		"request, class, account, tier, outcome, reason, status, upstream, attempts, events, waited-ms, first-ms, late-events, longest-gap-ms, took-ms, version, " +
 			"retry-after-ms, running, reading, unread, apart, entries-heard, waiting",
 	},
 	{LinesLeftOut, "lines of requests that completed at the first attempt were suppressed in the previous second", "count"},
--- a/internal/node/telemetry/telemetry_test.go
+++ b/internal/node/telemetry/telemetry_test.go
@@ -67,7 +67,8 @@
 	queue := logqueue.New(io.Discard, 8192)
 	observe := telemetry.New(queue, "entry", 0)
 	fields := logrus.Fields{"event": "request-finished", "process": "front-dakar-a-1", "request": "9c41d07be2a35f68", "outcome": "complete"}
-	for _, name := range strings.Fields("running reading unread entries-heard waiting tier status attempts events first-ms took-ms version retry-after-ms") {
+	for _, name := range strings.Fields("running reading unread entries-heard waiting tier status attempts events waited-ms first-ms late-events " +
+		"longest-gap-ms took-ms version retry-after-ms") {
 		fields[name] = 1234
 	}
 	for _, name := range strings.Fields("class account reason upstream apart") {
--- a/internal/policy/dedicated/dedicated.go
+++ b/internal/policy/dedicated/dedicated.go
@@ -22,12 +22,19 @@
 type Load struct {
 	LatencySensitive int
 	Engines          int
+	// StreamsPerEngine is the number of these streams that an engine runs within their
+	// target.
+	StreamsPerEngine int
 }
 
 const (
-	// streamsPerEngine is the number of latency-sensitive streams that an engine
-	// runs within a short target, including the prefill of their short prompts.
-	streamsPerEngine = 24
+	// timePerStream is what a stream adds to the slowest decode steps of its engine, with
+	// the prefill of the short prompts that come with it.
+	timePerStream = 1670 * time.Microsecond
+	// minStreams is the least number of streams per engine, maxBatchShare the largest share
+	// of the batch.
+	minStreams    = 8
+	maxBatchShare = 0.75
 	// maxShare is the largest share of the engines that are dedicated, rounded down.
 	maxShare = 0.5
 	// shrinkDelay is how long fewer engines must suffice before one is released.
@@ -61,5 +68,16 @@
 	if load.LatencySensitive == 0 {
 		return 0
 	}
-	return 1 + (load.LatencySensitive+streamsPerEngine/2)/streamsPerEngine
+	streams := max(load.StreamsPerEngine, minStreams)
+	return 1 + (load.LatencySensitive+streams/2)/streams
+}
+
+// StreamsPerEngine returns how many latency-sensitive streams an engine runs if a token may
+// take perToken. The batch is 0 if unknown.
+func StreamsPerEngine(perToken time.Duration, batch int) int {
+	streams := int(perToken / timePerStream)
+	if batch > 0 {
+		streams = min(streams, int(maxBatchShare*float64(batch)))
+	}
+	return max(streams, minStreams)
 }
