Refuse at once what waits in vain

Cause: a queued request that had missed its target was kept until too little time was left for an average response.

Change: when a request is queued, when its target can no longer be met and every 500 ms from then on, it is refused if the queue of its tier and of higher ones does not drain in time, or if its response would not end by its deadline on any engine at the pace of its streams. Retry-After follows the queue of its own tier and of higher ones.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -41,6 +42,9 @@
 	// both limit the processor time of the entry.
 	maxSkipped    = 16
 	admitInterval = 10 * time.Millisecond
+	// lateCheckInterval is the time between two checks whether a queued request that
+	// missed its target can still be served.
+	lateCheckInterval = 500 * time.Millisecond
 )
 
 // hasCapacity returns whether the engine may be sent the request now: it has a free
@@ -78,7 +82,7 @@
 // little time is left for a response.
 func (dispatcher *Dispatcher) enqueue(now time.Duration, row requestRow, chosen choice) {
 	queueDeadline := dispatcher.latestStart(row)
-	if now >= queueDeadline {
+	if now+dispatcher.queueWait(now, row) >= queueDeadline {
 		dispatcher.abort(now, row, message.Overload)
 		return
 	}
@@ -86,14 +90,50 @@
 	row.queued = true
 	row.queueDeadline = queueDeadline
 	dispatcher.requests.Put(row.request.ID, row)
-	dispatcher.requestDue.Set(row.request.ID, min(max(row.spilloverAt(), now), queueDeadline))
-	dispatcher.queuedTokens += float64(row.request.Prompt.Tokens)
+	dispatcher.requestDue.Set(row.request.ID, row.nextQueueCheck(now))
+	dispatcher.queuedTokens[row.request.Tier] += row.request.Prompt.Tokens
 	dispatcher.settings.Queue.Add(now, order.Item[message.RequestID]{
 		Key: row.request.ID, Tier: row.request.Tier, Class: row.request.Class.Name, Account: row.request.Account,
 		Work: float64(chosen.load.UncachedTokens), SendBy: row.sendBy(),
 	})
 }
 
+// queueWait returns the time in which the queued requests of the row's tier and of higher
+// ones are sent, at the present rate; 0 if none was sent lately.
+func (dispatcher *Dispatcher) queueWait(now time.Duration, row requestRow) time.Duration {
+	wait, _ := dispatcher.drainRate.Wait(now, float64(dispatcher.queuedAhead(row.request.Tier)))
+	return wait
+}
+
+// lowestTier is below the tier of any class.
+const lowestTier = math.MaxInt
+
+// queuedAhead returns the prompt tokens of the queued requests of the tier and of higher
+// ones.
+func (dispatcher *Dispatcher) queuedAhead(tier int) int {
+	ahead := 0
+	for queued, tokens := range dispatcher.queuedTokens {
+		if queued <= tier {
+			ahead += tokens
+		}
+	}
+	return ahead
+}
+
+// nextQueueCheck returns when the queued request is examined next: when any engine may
+// serve it, when its target can no longer be met and from then on every
+// lateCheckInterval, and at last at queueDeadline.
+func (row requestRow) nextQueueCheck(now time.Duration) time.Duration {
+	next := now + lateCheckInterval
+	switch {
+	case now < row.spilloverAt():
+		next = row.spilloverAt()
+	case now < row.sendBy():
+		next = row.sendBy()
+	}
+	return min(next, row.queueDeadline)
+}
+
 // bypassesQueue returns whether the class's target for the first token is at most
 // the time to prefill maxPrefillTokens and the request's own prompt; a class without
 // such a target bypasses the queue too. Holding such a request would not help it:
@@ -218,7 +258,11 @@
 // dequeue removes a request from the queue if it is there.
 func (dispatcher *Dispatcher) dequeue(row requestRow) {
 	if row.queued {
-		dispatcher.queuedTokens -= float64(row.request.Prompt.Tokens)
+		tier := row.request.Tier
+		dispatcher.queuedTokens[tier] -= row.request.Prompt.Tokens
+		if dispatcher.queuedTokens[tier] <= 0 {
+			delete(dispatcher.queuedTokens, tier)
+		}
 	}
 	dispatcher.settings.Queue.Remove(row.request.ID)
 }
@@ -250,9 +294,10 @@
 
 // retryAfter returns the Retry-After for a request that was not run: a short one if
 // this entry drains, since another entry can take the request at once; after an
-// overload the time until the present queue has been sent, within maxRetryAfter;
+// overload the time until the requests now queued ahead of its tier have been sent, within
+// maxRetryAfter;
 // otherwise one to two times minRetryAfter.
-func (dispatcher *Dispatcher) retryAfter(now time.Duration, reason message.Reason) time.Duration {
+func (dispatcher *Dispatcher) retryAfter(now time.Duration, row requestRow, reason message.Reason) time.Duration {
 	if dispatcher.draining {
 		return drainingRetryAfter
 	}
@@ -260,6 +305,5 @@
 	if reason != message.Overload {
 		return short
 	}
-	wait, _ := dispatcher.drainRate.Wait(now, dispatcher.queuedTokens)
-	return min(max(wait, short), maxRetryAfter)
+	return min(max(dispatcher.queueWait(now, row), short), maxRetryAfter)
 }
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -77,8 +77,8 @@
 	admitDue time.Duration
 	// totalLoads is the load of all entries by upstream, nil if it is out of date.
 	totalLoads map[string]message.UpstreamLoad
-	// queuedTokens counts the prompt tokens of the queued requests.
-	queuedTokens float64
+	// queuedTokens counts the prompt tokens of the queued requests by tier.
+	queuedTokens map[int]int
 	// drainRate is the rate at which prompt tokens leave the queue. The fields draining
 	// and drained are about the shutdown of the entry instead. The map responseTimes has
 	// the average response time by class.
@@ -157,6 +157,7 @@
 		outliers:      outlier.New(),
 		pools:         make(map[string]poolSnapshot),
 		listPullDue:   firstListPullDelay,
+		queuedTokens:  make(map[int]int),
 		responseTimes: make(map[string]time.Duration),
 	}
 }
@@ -194,7 +195,7 @@
 	if due, ok := dispatcher.mesh.NextDue(); ok {
 		next = min(next, due)
 	}
-	if dispatcher.capacityFreed && dispatcher.queuedTokens > 0 {
+	if dispatcher.capacityFreed && len(dispatcher.queuedTokens) > 0 {
 		next = min(next, dispatcher.admitDue)
 	}
 	if dispatcher.requests.Len() > 0 {
--- a/internal/core/dispatch/replay_scenario_test.go
+++ b/internal/core/dispatch/replay_scenario_test.go
@@ -134,9 +134,10 @@
 
 // classCounts counts the requests of a class by their result. withinTarget and late are
 // completed requests, unfinished those whose callers disconnected first, and rejected
-// all others.
+// all others; rejectedLate are the rejected ones whose target for the first token had
+// passed.
 type classCounts struct {
-	submitted, withinTarget, late, rejected, unfinished int
+	submitted, withinTarget, late, rejected, rejectedLate, unfinished int
 }
 
 // results are the results of a replay: the counts of each class, the tokens that engines
@@ -158,8 +159,8 @@
 	var text strings.Builder
 	for _, class := range slices.Sorted(maps.Keys(results.classes)) {
 		found := results.classes[class]
-		fmt.Fprintf(&text, "%s: %d submitted, %.3f within target, %d late, %d rejected, %d unfinished; ",
-			class, found.submitted, results.share(class), found.late, found.rejected, found.unfinished)
+		fmt.Fprintf(&text, "%s: %d submitted, %.3f within target, %d late, %d rejected (%d late), %d unfinished; ",
+			class, found.submitted, results.share(class), found.late, found.rejected, found.rejectedLate, found.unfinished)
 	}
 	fmt.Fprintf(&text, "%.2f tokens prefilled per prompt token", float64(results.prefillTokens)/float64(results.promptTokens))
 	return text.String()
--- a/internal/core/dispatch/replay_test.go
+++ b/internal/core/dispatch/replay_test.go
@@ -317,7 +317,7 @@
 			replay.engines[request.engine].Cancel(output.ID.String())
 			replay.deliver(now, from, event.AttemptEnded{ID: request.id, Number: request.attempt, Result: event.Stopped, Delivered: request.started})
 		case event.Finish:
-			replay.finish(replay.requests[output.ID.String()], output)
+			replay.finish(now, replay.requests[output.ID.String()], output)
 		case event.Send:
 			var to int
 			_, _ = fmt.Sscanf(strings.TrimPrefix(output.Peer, mesh.AcceptedKey("")), "entry-%d", &to)
@@ -327,13 +327,16 @@
 	}
 }
 
-func (replay *replay) finish(request *replayRequest, finish event.Finish) {
+func (replay *replay) finish(now time.Duration, request *replayRequest, finish event.Finish) {
 	counts := replay.results.classes[request.workload.class.Name]
 	switch {
 	case request.expired:
 		counts.unfinished++
 	case finish.Outcome != message.Complete:
 		counts.rejected++
+		if now-request.arrived > time.Duration(request.workload.class.FirstToken) {
+			counts.rejectedLate++
+		}
 	case request.late:
 		counts.late++
 	default:
@@ -462,9 +465,11 @@
 
 // TestLongResponsesUnderOverload guards against starting responses that are then cut off
 // at their deadline, since prefills for others slow down the streams of an overloaded
-// engine. At most one in 20 callers may wait until its deadline without a whole response.
+// engine, and against callers that wait long before they are rejected. At most one in 20
+// callers may wait until its deadline without a whole response, and at most one in four of
+// the rejected ones longer than the target for the first token.
 func TestLongResponsesUnderOverload(t *testing.T) {
-	const maxUnfinished = 0.05
+	const maxUnfinished, maxRejectedLate = 0.05, 0.25
 	t.Parallel()
 	load := longResponses(1.6)
 	for load.seed = 1; load.seed <= replaySeeds; load.seed++ {
@@ -474,5 +479,8 @@
 		if got := float64(plans.unfinished) / float64(plans.submitted); got > maxUnfinished {
 			t.Errorf("seed %d: plan: %.3f unfinished at the deadline, want at most %.2f", load.seed, got, maxUnfinished)
 		}
+		if got := float64(plans.rejectedLate) / float64(max(plans.rejected, 1)); got > maxRejectedLate {
+			t.Errorf("seed %d: plan: %.3f of the rejected after the target for the first token, want at most %.2f", load.seed, got, maxRejectedLate)
+		}
 	}
 }
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"endivepost/internal/config/document"
@@ -233,17 +234,33 @@
 	}
 }
 
-// expireWaiting aborts waiting requests that have reached their deadline. Queued
-// requests are due once before, at spilloverAt: any engine may serve them from then
-// on, so the queue is examined again.
+// waitsInVain returns whether a queued request that missed its target cannot be served in
+// time either: the queue is too long, or its response would not end by its deadline on
+// any engine. Its caller is told so rather than left to wait.
+func (dispatcher *Dispatcher) waitsInVain(now time.Duration, row requestRow) bool {
+	if now < row.sendBy() {
+		return false
+	}
+	if now+dispatcher.queueWait(now, row) > row.queueDeadline {
+		return true
+	}
+	snapshot := dispatcher.pool(now, row.pool)
+	return !slices.ContainsFunc(snapshot.usable, func(upstream event.Upstream) bool {
+		return snapshot.dedicated[upstream.Name] == row.latencySensitive && dispatcher.endsInTime(now, row, upstream.Name)
+	})
+}
+
+// expireWaiting aborts waiting requests that have reached their deadline or that wait in
+// vain. Queued requests are due before as well: from spilloverAt on any engine may serve
+// them, so the queue is examined again.
 func (dispatcher *Dispatcher) expireWaiting(now time.Duration) {
 	for _, id := range dispatcher.requestDue.PopDue(now) {
 		row, ok := dispatcher.requests.Get(id)
 		switch {
 		case !ok || row.state != waiting:
-		case row.queued && now < row.queueDeadline:
+		case row.queued && now < row.queueDeadline && !dispatcher.waitsInVain(now, row):
 			dispatcher.capacityFreed = true
-			dispatcher.requestDue.Set(id, row.queueDeadline)
+			dispatcher.requestDue.Set(id, row.nextQueueCheck(now))
 		case row.queued:
 			dispatcher.abort(now, row, message.Overload)
 		default:
@@ -271,7 +288,7 @@
 	dispatcher.dequeue(row)
 	finish := event.Finish{ID: row.request.ID, Outcome: outcome, Reason: reason, Upstream: row.upstream, Attempts: row.attemptsSent, Load: row.load}
 	if outcome == message.NotRun {
-		finish.RetryAfter = dispatcher.retryAfter(now, reason)
+		finish.RetryAfter = dispatcher.retryAfter(now, row, reason)
 	}
 	dispatcher.emit(finish)
 }
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -153,7 +153,7 @@
 	return choice{upstream: rotated[best], load: event.LoadSnapshot{
 		Running: chosen.Running, PrefillTokens: chosen.PrefillTokens, UncachedTokens: chosen.UncachedTokens,
 		Dedicated: chosen.Dedicated, Peers: len(dispatcher.mesh.Heartbeats()),
-		QueuedTokens: int(dispatcher.queuedTokens),
+		QueuedTokens: dispatcher.queuedAhead(lowestTier),
 	}}
 }
 
