Split the dispatcher's queue and drain, and the relaying of responses, into their files

Change: queue.go has how requests wait, are refused and return; drain.go the shutdown; relay.go how responses go on to the caller. Constants went with their functions. No behaviour changes.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"strings"
 	"time"
 
@@ -21,19 +20,6 @@
 	// progress may fill: the rest is for cached prefixes that they share with other
 	// requests.
 	maxKVCacheShare = 0.75
-	// minResponseTime is the least time to allow for a response; a request with
-	// less time left is aborted.
-	minResponseTime = 500 * time.Millisecond
-	drainTimeFactor = 2
-	// responseTimeSmoothing is the number of responses over which the response time
-	// of a class is averaged.
-	responseTimeSmoothing = 8
-	// drainRateWindow is the length of the windows in which the rate of prompt tokens
-	// that leave the queue is measured.
-	drainRateWindow = time.Second
-	// maxRetryAfter bounds the Retry-After of a rejected request: an overload
-	// seldom lasts longer.
-	maxRetryAfter = 10 * time.Second
 	// A pool is overloaded once the mean pending prefill of its engines, dedicated
 	// ones aside, exceeds maxPrefillTokens divided by overloadDivisor.
 	overloadDivisor = 3
@@ -42,9 +28,6 @@
 	// both limit the processor time of the entry.
 	maxSkipped    = 16
 	admitInterval = 10 * time.Millisecond
-	// lateCheckInterval is the time between two checks whether a queued request that
-	// missed its target can still be served.
-	lateCheckInterval = 500 * time.Millisecond
 )
 
 // hasCapacity returns whether the engine may be sent the request now: it has a free
@@ -78,62 +61,6 @@
 	return running == 0 || float64(running+row.kvTokens(uncached)) <= bound
 }
 
-// enqueue holds a request until an engine has capacity for it, or aborts it if too
-// little time is left for a response.
-func (dispatcher *Dispatcher) enqueue(now time.Duration, row requestRow, chosen choice) {
-	queueDeadline := dispatcher.latestStart(row)
-	if now+dispatcher.queueWait(now, row) >= queueDeadline {
-		dispatcher.abort(now, row, message.Overload)
-		return
-	}
-	row.state = waiting
-	row.queued = true
-	row.queueDeadline = queueDeadline
-	dispatcher.requests.Put(row.request.ID, row)
-	dispatcher.requestDue.Set(row.request.ID, row.nextQueueCheck(now))
-	dispatcher.queuedTokens[row.request.Tier] += row.request.Prompt.Tokens
-	dispatcher.settings.Queue.Add(now, order.Item[message.RequestID]{
-		Key: row.request.ID, Tier: row.request.Tier, Class: row.request.Class.Name, Account: row.request.Account,
-		Work: float64(chosen.load.UncachedTokens), SendBy: row.sendBy(),
-	})
-}
-
-// queueWait returns the time in which the queued requests of the row's tier and of higher
-// ones are sent, at the present rate; 0 if none was sent lately.
-func (dispatcher *Dispatcher) queueWait(now time.Duration, row requestRow) time.Duration {
-	wait, _ := dispatcher.drainRate.Wait(now, float64(dispatcher.queuedAhead(row.request.Tier)))
-	return wait
-}
-
-// lowestTier is below the tier of any class.
-const lowestTier = math.MaxInt
-
-// queuedAhead returns the prompt tokens of the queued requests of the tier and of higher
-// ones.
-func (dispatcher *Dispatcher) queuedAhead(tier int) int {
-	ahead := 0
-	for queued, tokens := range dispatcher.queuedTokens {
-		if queued <= tier {
-			ahead += tokens
-		}
-	}
-	return ahead
-}
-
-// nextQueueCheck returns when the queued request is examined next: when any engine may
-// serve it, when its target can no longer be met and from then on every
-// lateCheckInterval, and at last at queueDeadline.
-func (row requestRow) nextQueueCheck(now time.Duration) time.Duration {
-	next := now + lateCheckInterval
-	switch {
-	case now < row.spilloverAt():
-		next = row.spilloverAt()
-	case now < row.sendBy():
-		next = row.sendBy()
-	}
-	return min(next, row.queueDeadline)
-}
-
 // bypassesQueue returns whether the class's target for the first token is at most
 // the time to prefill maxPrefillTokens and the request's own prompt; a class without
 // such a target bypasses the queue too. Holding such a request would not help it:
@@ -143,17 +70,6 @@
 	return first <= enginechoice.PrefillTime(maxPrefillTokens+row.request.Prompt.Tokens)
 }
 
-// sendBy returns the latest send time that still meets the target for the first
-// token if the engine prefills maxPrefillTokens of other requests before this one; 0
-// without a target.
-func (row requestRow) sendBy() time.Duration {
-	first := time.Duration(row.request.Class.FirstToken)
-	if first == 0 {
-		return 0
-	}
-	return row.arrived + first - enginechoice.PrefillTime(maxPrefillTokens+row.request.Prompt.Tokens)
-}
-
 // admit sends queued requests in the order of the queue policy while engines have
 // capacity.
 func (dispatcher *Dispatcher) admit(now time.Duration) {
@@ -248,62 +164,3 @@
 	}
 	return prefill > engines*maxPrefillTokens/overloadDivisor
 }
-
-// spilloverAt returns when the request may go to any engine with capacity: halfway
-// from its arrival to its latest send time.
-func (row requestRow) spilloverAt() time.Duration {
-	return row.arrived + max(row.sendBy()-row.arrived, 0)/2
-}
-
-// dequeue removes a request from the queue if it is there.
-func (dispatcher *Dispatcher) dequeue(row requestRow) {
-	if row.queued {
-		tier := row.request.Tier
-		dispatcher.queuedTokens[tier] -= row.request.Prompt.Tokens
-		if dispatcher.queuedTokens[tier] <= 0 {
-			delete(dispatcher.queuedTokens, tier)
-		}
-	}
-	dispatcher.settings.Queue.Remove(row.request.ID)
-}
-
-// responseTime returns the moving average of the time from sending a request of the
-// class to the end of its response, at least minResponseTime. With less time left, a
-// request is not worth sending.
-func (dispatcher *Dispatcher) responseTime(row requestRow) time.Duration {
-	return max(dispatcher.responseTimes[row.request.Class.Name], minResponseTime)
-}
-
-// latestStart returns the latest time at which the request is worth sending. While this
-// process drains, the response must end before it exits; drainTimeFactor allows for
-// responses that take longer than the average.
-func (dispatcher *Dispatcher) latestStart(row requestRow) time.Duration {
-	latest := row.deadline - dispatcher.responseTime(row)
-	if dispatcher.exitAt > 0 {
-		latest = min(latest, dispatcher.exitAt-drainTimeFactor*dispatcher.responseTime(row))
-	}
-	return latest
-}
-
-// recordResponseTime adds a completed response to the class's average response
-// time.
-func (dispatcher *Dispatcher) recordResponseTime(now time.Duration, row requestRow) {
-	average := dispatcher.responseTimes[row.request.Class.Name]
-	dispatcher.responseTimes[row.request.Class.Name] = average + (now-row.sentAt-average)/responseTimeSmoothing
-}
-
-// retryAfter returns the Retry-After for a request that was not run: a short one if
-// this entry drains, since another entry can take the request at once; after an
-// overload the time until the requests now queued ahead of its tier have been sent, within
-// maxRetryAfter;
-// otherwise one to two times minRetryAfter.
-func (dispatcher *Dispatcher) retryAfter(now time.Duration, row requestRow, reason message.Reason) time.Duration {
-	if dispatcher.draining {
-		return drainingRetryAfter
-	}
-	short := minRetryAfter + time.Duration(dispatcher.settings.Random.Int64N(int64(minRetryAfter)))
-	if reason != message.Overload {
-		return short
-	}
-	return min(max(dispatcher.queueWait(now, row), short), maxRetryAfter)
-}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"endivepost/internal/config/document"
@@ -234,22 +233,6 @@
 	}
 }
 
-// waitsInVain returns whether a queued request that missed its target cannot be served in
-// time either: the queue is too long, or its response would not end by its deadline on
-// any engine. Its caller is told so rather than left to wait.
-func (dispatcher *Dispatcher) waitsInVain(now time.Duration, row requestRow) bool {
-	if now < row.sendBy() {
-		return false
-	}
-	if now+dispatcher.queueWait(now, row) > row.queueDeadline {
-		return true
-	}
-	snapshot := dispatcher.pool(now, row.pool)
-	return !slices.ContainsFunc(snapshot.usable, func(upstream event.Upstream) bool {
-		return snapshot.dedicated[upstream.Name] == row.latencySensitive && dispatcher.endsInTime(now, row, upstream.Name)
-	})
-}
-
 // expireWaiting aborts waiting requests that have reached their deadline or that wait in
 // vain. Queued requests are due before as well: from spilloverAt on any engine may serve
 // them, so the queue is examined again.
--- /dev/null
+++ b/internal/node/direct/relay.go
@@ -0,0 +1,162 @@
+package direct
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"endivepost/internal/core/event"
+	"endivepost/internal/node/eventstream"
+	"endivepost/internal/node/exchange"
+	"endivepost/internal/node/loop"
+)
+
+const (
+	// progressInterval is the time between two progress reports on a stream.
+	progressInterval = 250 * time.Millisecond
+	// maxResponseBytes bounds a response that is not a stream.
+	maxResponseBytes = 8 << 20
+)
+
+// relay forwards events as they arrive. The header is sent with the first event, so
+// that the request can be retried at another upstream until then; for a stream without
+// events it is sent at the end.
+func (inflight *inflight) relay(attempt event.Attempt, answer *exchange.Answer) error {
+	reader := eventstream.New(answer.Body)
+	progress := progress{loop: inflight.entry.loop, attempt: attempt}
+	for {
+		data, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			inflight.startResponse(answer)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !eventstream.HasData(data) {
+			err = inflight.forwardComment(data)
+		} else {
+			progress.report(time.Now())
+			err = inflight.forwardEvent(answer, data)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// progress reports the progress of a stream to the dispatcher.
+type progress struct {
+	loop       *loop.Loop
+	attempt    event.Attempt
+	reportedAt time.Time
+	// events counts the events since the last report.
+	events int
+}
+
+// report reports the first event at once and of the others one per progressInterval.
+func (progress *progress) report(now time.Time) {
+	progress.events++
+	switch {
+	case progress.reportedAt.IsZero():
+		progress.loop.Post(event.AttemptFirstByte{ID: progress.attempt.ID, Number: progress.attempt.Number})
+	case now.Sub(progress.reportedAt) > progressInterval:
+		progress.loop.Post(event.AttemptProgressed{ID: progress.attempt.ID, Number: progress.attempt.Number, Events: progress.events})
+	default:
+		return
+	}
+	progress.reportedAt = now
+	progress.events = 0
+}
+
+// forwardComment writes a comment to the caller once the response has begun. It is no
+// progress of the response.
+func (inflight *inflight) forwardComment(data []byte) error {
+	if !inflight.started {
+		return nil
+	}
+	return inflight.writeFlushed(data)
+}
+
+// forwardEvent writes one event to the caller, unless an earlier attempt already did.
+func (inflight *inflight) forwardEvent(answer *exchange.Answer, data []byte) error {
+	id, numbered := eventstream.ID(data)
+	if numbered && !isNewer(id, inflight.lastEventID) {
+		return nil
+	}
+	inflight.startResponse(answer)
+	if err := inflight.writeFlushed(data); err != nil {
+		return err
+	}
+	if numbered {
+		inflight.lastEventID = id
+	}
+	inflight.countEvent(time.Now())
+	return nil
+}
+
+// writeFlushed sends data to the caller at once.
+func (inflight *inflight) writeFlushed(data []byte) error {
+	if _, err := (callerWriter{inflight.writer}).Write(data); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(inflight.writer).Flush(); err != nil {
+		return errors.Join(errCallerDisconnected, err)
+	}
+	return nil
+}
+
+// isNewer compares event IDs as numbers. If either is not a number, the event counts
+// as new.
+func isNewer(id, latest string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	before, beforeErr := strconv.ParseUint(latest, 10, 64)
+	return err != nil || beforeErr != nil || number > before
+}
+
+// relayLong forwards a response that is too long to be buffered, after its first bytes.
+func (inflight *inflight) relayLong(answer *exchange.Answer, first *bufferedResponse) error {
+	if answer.ContentLength > maxResponseBytes {
+		return errTooLarge
+	}
+	if answer.ContentLength >= 0 {
+		inflight.writer.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	inflight.startResponse(answer)
+	rest := io.LimitReader(answer.Body, maxResponseBytes+1-int64(len(first.body)))
+	body := io.MultiReader(bytes.NewReader(first.body), rest)
+	count, err := io.Copy(callerWriter{inflight.writer}, body)
+	if err == nil && count > maxResponseBytes {
+		err = errTooLarge
+	}
+	return err
+}
+
+// startResponse sends the status and header to the caller once.
+func (inflight *inflight) startResponse(answer *exchange.Answer) {
+	if inflight.started {
+		return
+	}
+	inflight.started = true
+	inflight.timeToFirst = time.Since(inflight.arrived)
+	header := inflight.writer.Header()
+	for name, values := range inflight.entry.settings.Dialect.CallerHeader(answer.Header) {
+		header[name] = values
+	}
+	inflight.writer.WriteHeader(answer.StatusCode)
+}
+
+// callerWriter writes to the caller. Its errors wrap errCallerDisconnected.
+type callerWriter struct{ writer io.Writer }
+
+// Write implements io.Writer.
+func (caller callerWriter) Write(data []byte) (int, error) {
+	count, err := caller.writer.Write(data)
+	if err != nil {
+		err = errors.Join(errCallerDisconnected, err)
+	}
+	return count, err
+}
