Tell callers of direct entries when a request may have run

Cause: an entry without sidecars wrote every error response of its own with outcome not-run, also one for a request that may have run, and logged a relayed error with status 200.

Change: the response carries the request's outcome, and the log line the status that the caller got, 0 if its connection ended before a response began.

--- a/internal/node/caller/reply.go
+++ b/internal/node/caller/reply.go
@@ -286,9 +286,14 @@
 
 // WriteRefusal writes a refusal as a JSON error response with outcome not-run.
 func WriteRefusal(writer http.ResponseWriter, refusal RefusalError) {
-	writer.Header().Set(HeaderOutcome, message.NotRun.String())
+	WriteFailure(writer, refusal, message.NotRun)
+}
+
+// WriteFailure writes a JSON error response of the router's own with the outcome.
+func WriteFailure(writer http.ResponseWriter, refusal RefusalError, outcome message.Outcome) {
+	writer.Header().Set(HeaderOutcome, outcome.String())
 	body := ErrorBody{Error: ErrorDetail{
-		Message: refusal.Message, Type: "invalid_request_error", Code: refusal.Code, Outcome: message.NotRun.String(),
+		Message: refusal.Message, Type: "invalid_request_error", Code: refusal.Code, Outcome: outcome.String(),
 	}}
 	_ = WriteError(writer, refusal.Status, body)
 }
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -186,6 +186,7 @@
 		return event.UpstreamError, nil
 	}
 	inflight.started = true
+	inflight.status = buffered.status
 	inflight.timeToFirst = time.Since(inflight.arrived)
 	return event.Completed, buffered.write(inflight)
 }
--- a/internal/node/direct/relay.go
+++ b/internal/node/direct/relay.go
@@ -146,6 +146,7 @@
 	for name, values := range inflight.entry.settings.Dialect.CallerHeader(answer.Header) {
 		header[name] = values
 	}
+	inflight.status = answer.StatusCode
 	inflight.writer.WriteHeader(answer.StatusCode)
 }
 
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -186,6 +186,7 @@
 	id         string
 	version    uint64
 	retryAfter time.Duration
+	outcome    message.Outcome
 }
 
 // Error implements error.
@@ -202,6 +203,7 @@
 	entry.log(logevent.RequestRefused).WithFields(logrus.Fields{
 		"request": refused.id, "code": refused.code, "status": refused.status, "version": refused.version, "detail": refused.detail,
 	}).Info()
+	refused.outcome = message.NotRun
 	writeRefusal(writer, refused)
 }
 
@@ -212,7 +214,7 @@
 	if refused.retryAfter > 0 {
 		writer.Header().Set("Retry-After", strconv.FormatFloat(refused.retryAfter.Seconds(), 'f', millisecondDigits, 64))
 	}
-	caller.WriteRefusal(writer, caller.RefusalError{Status: refused.status, Code: refused.code, Message: refused.detail})
+	caller.WriteFailure(writer, caller.RefusalError{Status: refused.status, Code: refused.code, Message: refused.detail}, refused.outcome)
 }
 
 // run submits the request to the dispatcher and carries out its outputs until the
@@ -263,8 +265,9 @@
 	commands *commands
 	// buffered is the latest error response of an upstream, sent if no attempt succeeds.
 	buffered *bufferedResponse
-	// started is set once the response to the caller has begun.
+	// started is set once the response to the caller has begun, with the status code status.
 	started     bool
+	status      int
 	lastEventID string
 	events      int
 	// waited is the time from arrival to the first attempt, timeToFirst that from
@@ -289,12 +292,12 @@
 }
 
 // writeFinal writes the response if runAttempt has not done so, and returns its status
-// code. For a response that runAttempt has written it returns 200.
+// code.
 func (inflight *inflight) writeFinal(finish event.Finish) int {
-	refused := refusal{code: finish.Outcome.String(), detail: finish.Reason.String(), retryAfter: finish.RetryAfter}
+	refused := refusal{code: finish.Outcome.String(), detail: finish.Reason.String(), retryAfter: finish.RetryAfter, outcome: finish.Outcome}
 	switch {
 	case finish.Outcome == message.Complete || finish.Outcome == message.Incomplete:
-		return http.StatusOK
+		return inflight.status
 	case finish.Outcome == message.Failed && inflight.buffered != nil:
 		if err := inflight.buffered.write(inflight); err != nil {
 			inflight.logUndelivered(err)
