Do not take comments for progress of a stream

Cause: a sidecar restarted its stall timeout on anything it read, so that a stream whose upstream sends only comments never ended.

Change: only an event with data restarts the timeout.

--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -41,7 +41,8 @@
 
 // Settings of an Upstream. Address is host:port. Uptime is the clock for
 // StartRun.NotAfter. A run is cancelled if the first data of the response body takes
-// longer than FirstByteTimeout, and after StallTimeout without further data.
+// longer than FirstByteTimeout, and after StallTimeout without further data, or without a
+// further event in a stream of events.
 type Settings struct {
 	Address          string
 	Uptime           func() time.Duration
@@ -251,7 +252,10 @@
 	for {
 		data, err := reader.Next()
 		if len(data) > 0 {
-			watchdog.Reset(upstream.settings.StallTimeout)
+			// Comments keep a connection open and are no progress.
+			if eventstream.HasData(data) {
+				watchdog.Reset(upstream.settings.StallTimeout)
+			}
 			upstream.post(event.ResponseChunk{ID: id, Data: data})
 			done = done || bytes.HasPrefix(data, []byte(doneEvent))
 		}
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -101,6 +101,39 @@
 	}
 }
 
+// TestCommentsAreNoProgress guards against a stalled stream that is kept because its
+// upstream sends comments.
+func TestCommentsAreNoProgress(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		for request.Context().Err() == nil {
+			_, _ = io.WriteString(writer, ": still here\n\n")
+			_ = http.NewResponseController(writer).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}))
+	defer server.Close()
+	defer server.CloseClientConnections()
+	const timeout, maxWait = 300 * time.Millisecond, 10 * time.Second
+	ended := make(chan event.RunEnded, 1)
+	upstream.New(upstream.Settings{
+		Address: server.Listener.Addr().String(), Uptime: func() time.Duration { return 0 }, FirstByteTimeout: timeout, StallTimeout: timeout,
+		Tracer: noop.NewTracerProvider().Tracer(""),
+	}, func(input event.Input) {
+		if input, ok := input.(event.RunEnded); ok {
+			ended <- input
+		}
+	}).Start(request())
+	select {
+	case got := <-ended:
+		if got.Outcome != message.Incomplete || got.Crashed {
+			t.Errorf("got %+v, want an incomplete run that is no crash", got)
+		}
+	case <-time.After(maxWait):
+		t.Error("the run has not ended, want it to end after the stall timeout")
+	}
+}
+
 // TestEndlessHeader guards against reading a header that never ends.
 func TestEndlessHeader(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
