Let urgent requests wait while no engine is dedicated

A queued request of a latency-sensitive class that had missed its target was refused if no engine was dedicated to such streams, as with one engine or before the first of them runs: the check for an engine that is fast enough looked at dedicated engines only. A queue of prompts of unknown length counted as empty.

Change: such requests are refused only for the length of the queue. A prompt of unknown length counts as one token in the queue.

Result: TestUrgentRequestWaitsWithoutDedicatedEngines failed before (refused as overload after its target) and passes.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -410,6 +410,43 @@
 	}
 }
 
+// TestUrgentRequestWaitsWithoutDedicatedEngines guards against refusing a request of a
+// latency-sensitive class, once it has missed its target, because no engine is dedicated
+// to such streams.
+func TestUrgentRequestWaitsWithoutDedicatedEngines(t *testing.T) {
+	harness := newHarness(t, 1, ampleRetries)
+	class := document.Class{
+		Name: "chat", Tier: 1, FirstToken: document.Duration(time.Second), BetweenTokens: document.Duration(200 * time.Millisecond),
+		TimeLimit: document.Duration(time.Minute), Streamed: true, Resumable: true, Split: []document.Share{{Pool: "engines", Weight: 1}},
+	}
+	raw, err := json.Marshal(document.Document{
+		Version: 2, SelfRegistration: true, Classes: []document.Class{class},
+		Pools: []document.Pool{{Name: "engines", Engine: document.Engine{Batch: 1, TokensPerEvent: 5}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine := event.Upstream{Name: "e-1", Pool: "engines", Slots: 1, Revision: 5}
+	onlyOutput[event.DocumentAccepted](t, harness.step(event.DocumentRead{Raw: raw}, event.UpstreamUpdated{Upstream: engine}))
+	submit := func(sequence uint64) []event.Output {
+		return harness.step(event.Submitted{Request: event.Request{
+			ID: message.NewRequestID(9, sequence), Class: class, Tier: 1, Fingerprint: sequence, Prompt: event.Prompt{Tokens: 500},
+		}})
+	}
+	running := onlyOutput[event.Attempt](t, submit(1))
+	submit(2)
+	for end := harness.now + 3*time.Second; harness.now < end; harness.now += 100 * time.Millisecond {
+		for _, output := range harness.step(event.AttemptProgressed{ID: running.ID, Number: running.Number, Events: 1}) {
+			if finish, ok := output.(event.Finish); ok {
+				t.Fatalf("got %+v, want the request to wait for the engine", finish)
+			}
+		}
+	}
+	if attempt := onlyOutput[event.Attempt](t, harness.end(running, event.Completed)); attempt.ID != message.NewRequestID(9, 2) {
+		t.Errorf("got an attempt of %v, want one of the waiting request", attempt.ID)
+	}
+}
+
 // TestResumedStreamIsNotQueued guards against a pause in a stream that the caller
 // has received in part: after an interruption it goes to another engine at once,
 // whatever that one has pending.
--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -25,6 +25,7 @@
 	}
 }
 
+// reportDrained emits Drained once the draining entry has no request left.
 func (dispatcher *Dispatcher) reportDrained() {
 	if !dispatcher.draining || dispatcher.drained || dispatcher.requests.Len() > 0 {
 		return
--- a/internal/core/dispatch/queue.go
+++ b/internal/core/dispatch/queue.go
@@ -45,18 +45,24 @@
 	row.queueDeadline = queueDeadline
 	dispatcher.requests.Put(row.request.ID, row)
 	dispatcher.requestDue.Set(row.request.ID, row.nextQueueCheck(now))
-	dispatcher.queuedTokens[row.request.Tier] += row.request.Prompt.Tokens
+	dispatcher.queuedTokens[row.request.Tier] += row.queuedTokens()
 	dispatcher.settings.Queue.Add(now, order.Item[message.RequestID]{
 		Key: row.request.ID, Tier: row.request.Tier, Class: row.request.Class.Name, Account: row.request.Account,
 		Work: float64(chosen.load.UncachedTokens), SendBy: row.sendBy(),
 	})
 }
 
+// queuedTokens returns the prompt tokens that the request adds to the queue, at least 1, so
+// that a queue of prompts of unknown length does not count as empty.
+func (row requestRow) queuedTokens() int {
+	return max(row.request.Prompt.Tokens, 1)
+}
+
 // dequeue removes a request from the queue if it is there.
 func (dispatcher *Dispatcher) dequeue(row requestRow) {
 	if row.queued {
 		tier := row.request.Tier
-		dispatcher.queuedTokens[tier] -= row.request.Prompt.Tokens
+		dispatcher.queuedTokens[tier] -= row.queuedTokens()
 		if dispatcher.queuedTokens[tier] <= 0 {
 			delete(dispatcher.queuedTokens, tier)
 		}
@@ -119,7 +125,7 @@
 
 // waitsInVain returns whether a queued request that missed its target cannot be served in
 // time either: the queue is too long, or its response would not end by its deadline on
-// any engine. Its caller is told so rather than left to wait.
+// any engine that is not dedicated. Its caller is told so rather than left to wait.
 func (dispatcher *Dispatcher) waitsInVain(now time.Duration, row requestRow) bool {
 	if now < row.sendBy() {
 		return false
@@ -127,9 +133,12 @@
 	if now+dispatcher.queueWait(now, row) > row.queueDeadline {
 		return true
 	}
+	if row.latencySensitive {
+		return false
+	}
 	snapshot := dispatcher.pool(now, row.pool)
 	return !slices.ContainsFunc(snapshot.usable, func(upstream event.Upstream) bool {
-		return snapshot.dedicated[upstream.Name] == row.latencySensitive && dispatcher.endsInTime(now, row, upstream.Name)
+		return !snapshot.dedicated[upstream.Name] && dispatcher.endsInTime(now, row, upstream.Name)
 	})
 }
 
@@ -159,9 +168,8 @@
 
 // retryAfter returns the Retry-After for a request that was not run: a short one if
 // this entry drains, since another entry can take the request at once; after an
-// overload the time until the requests now queued ahead of its tier have been sent, within
-// maxRetryAfter;
-// otherwise one to two times minRetryAfter.
+// overload the time until the requests now queued of its tier and of higher ones have been
+// sent, within maxRetryAfter; otherwise one to two times minRetryAfter.
 func (dispatcher *Dispatcher) retryAfter(now time.Duration, row requestRow, reason message.Reason) time.Duration {
 	if dispatcher.draining {
 		return drainingRetryAfter
