Add mutants of what this state decides anew

Cause: make mutants covered none of the new mechanisms of the dispatcher, and none of the bounds on what upstreams send.

Change: eight mutants: responses that would not end, refusals of what waits in vain, urgent requests without dedicated engines, latency-sensitive classes, the drain's queue, partly delivered responses, informational responses and comments without end.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -93,4 +93,22 @@
 mutant "limit: it grows until tokens are late" internal/policy/aimd/aimd.go \
   's/ && aimd\.interToken\.near < maxNear//; s/ \|\| aimd\.interToken\.missed > maxMissed:/ || aimd.interToken.missed > 0.3:/' \
   ./internal/policy/aimd TestLimitKeepsTheTarget
+dispatch=./internal/core/dispatch
+mutant "length: responses that would not end are started" internal/core/dispatch/pace.go \
+  's/if row\.latencySensitive \{/if true {/' $dispatch TestLongResponsesUnderOverload
+mutant "waiting: nothing is refused before its last moment" internal/core/dispatch/queue.go \
+  's/if now < row\.sendBy\(\) \{/if true {/' $dispatch TestLongResponsesUnderOverload
+mutant "waiting: urgent requests need a dedicated engine" internal/core/dispatch/queue.go \
+  's/return !snapshot\.dedicated/return row.latencySensitive == snapshot.dedicated/; s/if row\.latencySensitive \{/if false {/' \
+  $dispatch TestUrgentRequestWaitsWithoutDedicatedEngines
+mutant "sensitivity: no class is latency-sensitive" internal/policy/sensitivity/sensitivity.go \
+  's/stats\.sensitive = stats\.misses\(gap\).*/stats.sensitive = false/' $dispatch TestLongResponsesInBursts
+mutant "drain: queued requests keep their deadline" internal/core/dispatch/queue.go \
+  's/if dispatcher\.exitAt > 0 \{/if false {/' $dispatch TestDrainRefusesWhatItCannotFinish
+mutant "retries: a response delivered in part is requested again" internal/core/dispatch/requests.go \
+  's/if row\.delivered && !row\.request\.Class\.Streamed \{/if false {/' $dispatch TestPartlyDeliveredResponse
+mutant "bounds: informational responses without end" internal/node/exchange/response_head.go \
+  's/range maxInformational \+ 1/range 1 << 40/' ./internal/node/exchange TestEndlessHead
+mutant "bounds: a comment counts as an event" internal/node/eventstream/eventstream.go \
+  's/if HasData\(data\) \{/if true {/' ./internal/node/eventstream TestEndlessStream
 exit $survived
