Log the prompt parts of failed attempts

The logs told which requests were in flight at each crash, by a hash of the whole request, but not what these requests had in common: 177 hashes failed, none often. Whether one caller repeats one request, or many requests share a part, could not be told from them.

The line attempt-failed now has the IDs of the prompt's parts, and how many events the caller has: a request without any had just begun when its engine crashed.

--- a/internal/node/direct/observe.go
+++ b/internal/node/direct/observe.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -120,7 +121,7 @@
 // logUndelivered logs that a buffered response could not be written to the caller.
 func (inflight *inflight) logUndelivered(err error) {
 	inflight.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
-		"request": inflight.info.ID, "attempt": 0, "upstream": "", "fingerprint": "", "cause": err.Error(),
+		"request": inflight.info.ID, "attempt": 0, "upstream": "", "parts": "", "events": 0, "fingerprint": "", "cause": err.Error(),
 	}).Info()
 }
 
@@ -128,11 +129,20 @@
 // errors.Join puts between errors are replaced, so that the log has one line.
 func (inflight *inflight) logFailure(attempt event.Attempt, err error) {
 	inflight.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
-		"request": inflight.info.ID, "attempt": attempt.Number, "upstream": attempt.Upstream,
-		"fingerprint": fmt.Sprintf("%016x", inflight.resolved.Fingerprint), "cause": strings.ReplaceAll(err.Error(), "\n", "; "),
+		"request": inflight.info.ID, "attempt": attempt.Number, "upstream": attempt.Upstream, "parts": formatParts(inflight.resolved.Prompt.Parts),
+		"events": inflight.events, "fingerprint": fmt.Sprintf("%016x", inflight.resolved.Fingerprint), "cause": strings.ReplaceAll(err.Error(), "\n", "; "),
 	}).Info()
 }
 
+// formatParts returns the IDs of the prompt parts in hexadecimal, separated by commas.
+func formatParts(parts []event.PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 // Status is an entry's own state, for operators.
 type Status struct {
 	Name          string `json:"name"`
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -89,7 +89,11 @@
 	{DialFailed, "a connection to another entry could not be opened", "peer, error"},
 	{RequestRefused, "a request was refused before any attempt (operator-gone: a response to an operator was not sent)", "request, code, status, version, detail"},
 	{FieldIgnored, "a header field used for the choice of an upstream is invalid; the request continues without it", "request, detail"},
-	{AttemptFailed, "an attempt ended without a complete response (attempt 0: it did not reach the caller)", "request, attempt, upstream, fingerprint, cause"},
+	{
+		AttemptFailed, "an attempt ended without a complete response (attempt 0: it did not reach the caller); parts are the IDs of the prompt's parts, " +
+			"events the events that the caller has",
+		"request, attempt, upstream, parts, events, fingerprint, cause",
+	},
 	{
 		AttemptEnded, "an attempt ended, unless it was the first and completed; the fields from running on are the load on which the upstream was chosen",
 		"request, attempt, upstream, result, status, after-ms, running, reading, unread, apart, entries-heard, waiting",
