--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -242,6 +242,30 @@
 	}
 }
 
+// TestRefusedConnectionsAddNoRetries guards against retries beyond the retry budget while
+// upstreams refuse connections: a request counts once to the requests that the budget is a
+// share of, however many connections were tried for it.
+func TestRefusedConnectionsAddNoRetries(t *testing.T) {
+	const requests, refusedEach = 100, 5
+	harness := newHarness(t, refusedEach+2, retrywindow.Settings{Ratio: 0.2, Span: 10 * time.Second})
+	retries := 0
+	for i := range uint64(requests) {
+		harness.now += 10 * time.Millisecond
+		outputs := harness.submit(idempotentClass, 1000+i)
+		for range refusedEach {
+			outputs = harness.end(onlyOutput[event.Attempt](t, outputs), event.ConnectFailed)
+		}
+		outputs = harness.end(onlyOutput[event.Attempt](t, outputs), event.UpstreamError)
+		if attempt, retried := outputs[len(outputs)-1].(event.Attempt); retried {
+			retries++
+			harness.end(attempt, event.Completed)
+		}
+	}
+	if limit := requests / 5; retries > limit {
+		t.Errorf("got %d retries for %d requests, want at most %d", retries, requests, limit)
+	}
+}
+
 // TestRequestWaitsForUpstream guards against rejecting a request at once when no
 // upstream is usable: it waits for UpstreamWait and is then rejected as not-run.
 func TestRequestWaitsForUpstream(t *testing.T) {
