Count a request once to the requests that its retry budget is a share of

Cause: an attempt whose connection is refused does not count as sent, so the next one was again the request's first and counted another request.

A request now counts once, with its first attempt, whatever becomes of its connections.

--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -39,8 +39,10 @@
 	attemptNumber int
 	sentAt        time.Duration
 	attemptsSent  int
-	upstream      string
-	tried         []string
+	// counted is true once the request counts in the retry window of its pool.
+	counted  bool
+	upstream string
+	tried    []string
 	// prefillTokens counts the prompt tokens that the upstream had not cached when
 	// the request was sent to it.
 	prefillTokens     int
@@ -188,10 +190,11 @@
 	row.prefillTokens = dispatcher.uncachedTokens(row, upstream.Name, nil)
 	dispatcher.addLoad(now, row)
 	dispatcher.requestDue.Remove(row.request.ID)
-	dispatcher.requests.Put(row.request.ID, row)
-	if row.attemptsSent == 1 {
+	if !row.counted {
+		row.counted = true
 		dispatcher.retryWindow(row.pool).Sent(now)
 	}
+	dispatcher.requests.Put(row.request.ID, row)
 	dispatcher.emit(event.Attempt{
 		ID: row.request.ID, Number: row.attemptNumber, Upstream: upstream.Name, Address: upstream.Address, Domain: upstream.Domain,
 		Tier: row.request.Tier, Deadline: row.deadline, Load: chosen.load,
