Find the part of a prompt that crashes engines, and reject requests with it

Requests with one part in their prompts crashed each engine that began to write for them, and went on to the next one: 62 reached engines after the fifth crash.

Cause: a crash suspect is identified by the hash of its whole request. No two of these requests are alike, so each was a new suspect and its count never reached the limit. Everything that is identified by one caller's exact request has this fault.

Entries now collect which attempts were interrupted at which upstream and when, with the parts of their prompts and the fingerprint, and tell each other at once; in a fleet where not all are connected they pass it on. An attribute is blamed after three crashes in a row, four if an upstream had survived it before: each under a request that was sent after the crash before, and none followed by a request with it that an upstream survived. Of several attributes the one with most crashes is blamed, or a more specific one with nearly as many, and what it explains no longer counts against the others. That keeps the sound requests which were in flight at the same crashes, and share their caller or their other parts, served. Reports name attempts, not times, so that late ones, as from a paused entry, do not clear what came after them.

--- /dev/null
+++ b/internal/core/crashcause/finder_test.go
@@ -0,0 +1,160 @@
+package crashcause_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"endivepost/internal/core/crashcause"
+	"endivepost/internal/wire/message"
+)
+
+const (
+	sharedPart   = 1
+	crashingPart = 2
+	callersPart  = 3
+)
+
+// ExampleFinder shows that of two parts that requests to crashed upstreams have in common,
+// the one under which an upstream survived is not blamed.
+func ExampleFinder() {
+	finder := crashcause.New()
+	now := time.Minute
+	for i := range uint64(4) {
+		now += time.Second
+		finder.Interrupted(now, message.Interruption{
+			Attempt: message.NewRequestID(1, i), Upstream: fmt.Sprintf("engine-%d", i), SentAge: 100 * time.Millisecond,
+			Attributes: []uint64{sharedPart, crashingPart, 100 + i},
+		})
+	}
+	finder.Survived([]uint64{sharedPart, callersPart, 200}, 2, now)
+	blamed, _ := finder.Review(now)
+	remaining, rejected := finder.Cause(now, []uint64{sharedPart, crashingPart, 300})
+	_, alsoRejected := finder.Cause(now, []uint64{sharedPart, callersPart, 301})
+	fmt.Println(blamed, rejected, remaining, alsoRejected)
+	// Output: [2] true 5m0s false
+}
+
+// interruption returns the interruption of the numbered attempt at the numbered upstream.
+func interruption(attempt uint64, upstream int, sentAge time.Duration, attributes ...uint64) message.Interruption {
+	return message.Interruption{
+		Attempt: message.NewRequestID(1, attempt), Upstream: fmt.Sprintf("engine-%d", upstream), SentAge: sentAge, Attributes: attributes,
+	}
+}
+
+// TestBlame guards against blaming an attribute for failures that it did not cause, and
+// against missing the one that did.
+func TestBlame(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name    string
+		report  func(finder *crashcause.Finder, now time.Duration)
+		blaming []uint64
+	}{
+		{"upstreams that fail at the same time", func(finder *crashcause.Finder, now time.Duration) {
+			for i := range 8 {
+				finder.Interrupted(now, interruption(uint64(i), i, time.Second, sharedPart, 100+uint64(i)))
+			}
+		}, nil},
+		{"connections of one upstream that break one after the other", func(finder *crashcause.Finder, now time.Duration) {
+			for i := range 8 {
+				finder.Interrupted(now+time.Duration(i)*200*time.Millisecond/2, interruption(uint64(i), 1, 50*time.Millisecond, sharedPart, 100+uint64(i)))
+			}
+		}, nil},
+		{"a request that its caller repeats", func(finder *crashcause.Finder, now time.Duration) {
+			for i := range 3 {
+				finder.Interrupted(now+time.Duration(i)*time.Second, interruption(uint64(i), i, 100*time.Millisecond, sharedPart, 100, 200))
+			}
+		}, []uint64{200}},
+		{"a part that survived before it began to crash upstreams", func(finder *crashcause.Finder, now time.Duration) {
+			finder.Survived([]uint64{crashingPart, 50}, 1, now-time.Second)
+			for i := range 4 {
+				finder.Interrupted(now+time.Duration(i)*time.Second, interruption(uint64(i), i, 100*time.Millisecond, crashingPart, 100+uint64(i)))
+			}
+		}, []uint64{crashingPart}},
+		{"upstreams that were alive afterwards", func(finder *crashcause.Finder, now time.Duration) {
+			for i := range 4 {
+				at := now + time.Duration(i)*time.Second
+				finder.Interrupted(at, interruption(uint64(i), i, 100*time.Millisecond, sharedPart, 100))
+				finder.Alive(at+500*time.Millisecond, fmt.Sprintf("engine-%d", i))
+			}
+		}, nil},
+	}
+	for _, row := range cases {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			finder := crashcause.New()
+			row.report(finder, time.Minute)
+			blamed, _ := finder.Review(time.Minute + 5*time.Second)
+			if fmt.Sprint(blamed) != fmt.Sprint(row.blaming) {
+				t.Errorf("got blamed %v, want %v", blamed, row.blaming)
+			}
+		})
+	}
+}
+
+// TestReportsInAnyOrder guards against processes that disagree because reports reach them
+// late, in another order or twice.
+func TestReportsInAnyOrder(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Minute
+		var reports []func(finder *crashcause.Finder)
+		for i := range rapid.IntRange(1, 30).Draw(t, "interruptions") {
+			at := time.Duration(i) * 300 * time.Millisecond
+			upstream := rapid.IntRange(0, 9).Draw(t, "upstream")
+			attributes := []uint64{rapid.Uint64Range(1, 3).Draw(t, "first"), rapid.Uint64Range(11, 13).Draw(t, "second"), 100 + uint64(i)}
+			reported := interruption(uint64(i), upstream, 10*time.Second-at+100*time.Millisecond, attributes...)
+			reported.Age = 10*time.Second - at
+			reports = append(reports, func(finder *crashcause.Finder) { finder.Interrupted(now, reported) })
+			if rapid.Bool().Draw(t, "survives") {
+				survival := message.Survival{Attribute: attributes[0], Attempts: []message.RequestID{reported.Attempt}}
+				reports = append(reports, func(finder *crashcause.Finder) { finder.PeerSurvived(now, survival, false) })
+			}
+			if rapid.IntRange(0, 4).Draw(t, "refuted") == 0 {
+				reports = append(reports, func(finder *crashcause.Finder) { finder.Refuted(now, reported.Attempt) })
+			}
+		}
+		first, second := crashcause.New(), crashcause.New()
+		for _, report := range reports {
+			report(first)
+		}
+		for _, report := range rapid.Permutation(append(reports, reports...)).Draw(t, "order") {
+			report(second)
+		}
+		got, _ := second.Review(now)
+		want, _ := first.Review(now)
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("got blamed %v, want %v as in the order of their times", got, want)
+		}
+	})
+}
+
+// TestReportToNewPeer guards against a restarted process that does not know what the others
+// blame or have cleared.
+func TestReportToNewPeer(t *testing.T) {
+	t.Parallel()
+	finder, started := crashcause.New(), crashcause.New()
+	now := time.Minute
+	for i := range uint64(5) {
+		now += time.Second
+		finder.Interrupted(now, interruption(i, int(i), 100*time.Millisecond, sharedPart, crashingPart, 100+i))
+	}
+	finder.Survived([]uint64{sharedPart, callersPart}, 1, now)
+	interruptions, refuted, survivals := finder.Report(now)
+	for _, report := range interruptions {
+		started.Interrupted(time.Second, report)
+	}
+	for _, attempt := range refuted {
+		started.Refuted(time.Second, attempt)
+	}
+	for _, report := range survivals {
+		started.PeerSurvived(time.Second, report, false)
+	}
+	want, _ := finder.Review(now)
+	if got, _ := started.Review(time.Second); fmt.Sprint(got) != fmt.Sprint(want) || len(got) != 1 || got[0] != crashingPart {
+		t.Errorf("got blamed %v, want %v", got, []uint64{crashingPart})
+	}
+}
--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/event"
 	"endivepost/internal/wire/message"
 )
@@ -14,6 +15,7 @@
 		return
 	}
 	row.firstByteReceived = true
+	row.firstByteAt = now
 	row.progressedAt = now
 	row.events = 1
 	dispatcher.requests.Put(input.ID, row)
@@ -32,6 +34,9 @@
 	dispatcher.removeFalseCrashes(now, row.upstream)
 	dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithActivity(now))
 	dispatcher.observeProgress(now, row, input.Events)
+	if row.firstByteReceived && now-row.firstByteAt >= crashcause.SurvivalTime {
+		dispatcher.reportSurvival(row)
+	}
 	row.progressedAt = now
 	row.events += input.Events
 	dispatcher.requests.Put(input.ID, row)
@@ -62,6 +67,7 @@
 	switch ended.Result {
 	case event.Completed:
 		dispatcher.clearSuspicion(now, row)
+		dispatcher.reportSurvival(row)
 		dispatcher.recordResponseTime(now, row)
 		dispatcher.finish(now, row, message.Complete, message.NoReason)
 	case event.ConnectFailed:
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"endivepost/internal/config/distribution"
+	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/membership"
 	"endivepost/internal/core/mesh"
@@ -44,6 +45,10 @@
 	// sends to its peers; peerSuspects are those received from peers.
 	localSuspects *suspects.Table
 	peerSuspects  *suspects.Table
+	// crashCauses finds what requests that crash upstreams have in common.
+	crashCauses    *crashcause.Finder
+	crashReports   crashReports
+	crashReviewDue time.Duration
 	// cleared are the fingerprints that the next heartbeat reports as cleared.
 	cleared      []uint64
 	retryWindows map[string]*retrywindow.Window
@@ -115,6 +120,9 @@
 	// maxSuspicionsPerHeartbeat bounds the suspicions in a heartbeat, and separately the
 	// cleared ones.
 	maxSuspicionsPerHeartbeat = 32
+	// crashReviewInterval is the least time between two reviews of what crashes upstreams:
+	// it limits the processor time of the entry while many responses are interrupted.
+	crashReviewInterval = 50 * time.Millisecond
 	// largeFleet is the number of known entries above which heartbeats carry no
 	// load: an entry is connected to so few of the others that their loads are not
 	// worth the traffic. The heartbeat interval is then multiplied by
@@ -150,6 +158,7 @@
 		requestDue:    timerqueue.New[message.RequestID](),
 		localSuspects: suspects.New(maxSuspects),
 		peerSuspects:  suspects.New(maxSuspects),
+		crashCauses:   crashcause.New(),
 		retryWindows:  make(map[string]*retrywindow.Window),
 		sizers:        make(map[string]*dedicated.Sizer),
 		classifiers:   make(map[string]*sensitivity.Classifier),
@@ -172,6 +181,7 @@
 	for _, input := range inputs {
 		dispatcher.handleInput(now, input)
 	}
+	dispatcher.reviewCrashCauses(now)
 	dispatcher.placeWaiting(now)
 	dispatcher.expireWaiting(now)
 	dispatcher.admit(now)
@@ -201,6 +211,9 @@
 	if dispatcher.requests.Len() > 0 {
 		next = min(next, dispatcher.livenessCheckDue)
 	}
+	if dispatcher.crashCauses.Changed() {
+		next = min(next, dispatcher.crashReviewDue)
+	}
 	return next
 }
 
--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -32,11 +32,12 @@
 	runs    *table.Table[message.RequestID, *fleetRun]
 	// The hooks are called when a request reaches an engine, begins its response, crashes
 	// its engine, and has its final outcome.
-	arrivedAt func(run *fleetRun)
-	started   func(run *fleetRun)
-	crashedAt func(run *fleetRun)
-	finished  func(run *fleetRun, finish event.Finish)
-	sequence  uint64
+	arrivedAt    func(run *fleetRun)
+	started      func(run *fleetRun)
+	crashedAt    func(run *fleetRun)
+	stateChanged func(entry *fleetEntry, change event.StateChanged)
+	finished     func(run *fleetRun, finish event.Finish)
+	sequence     uint64
 }
 
 // fleetEntry is one entry. Generation counts its starts; inputs for an earlier one are lost.
@@ -100,6 +101,7 @@
 	created := &fleet{random: rand.New(rand.NewPCG(seed, seed)), runs: table.New[message.RequestID, *fleetRun]()}
 	nothing := func(*fleetRun) {}
 	created.arrivedAt, created.started, created.crashedAt = nothing, nothing, nothing
+	created.stateChanged = func(*fleetEntry, event.StateChanged) {}
 	created.finished = func(*fleetRun, event.Finish) {}
 	for i := range engines {
 		created.engines = append(created.engines, &fleetEngine{name: fmt.Sprintf("engine-%d", i)})
@@ -220,6 +222,8 @@
 		run, _ := fleet.runs.Get(output.ID)
 		fleet.runs.Delete(output.ID)
 		fleet.finished(run, output)
+	case event.StateChanged:
+		fleet.stateChanged(entry, output)
 	case event.Dial:
 		fleet.dial(entry, output)
 	case event.CloseLink:
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -54,6 +54,7 @@
 	for _, suspicion := range heartbeat.Suspicions {
 		dispatcher.peerSuspects.Merge(now, suspicion)
 	}
+	dispatcher.handleCrashReports(now, heartbeat)
 	for _, departure := range heartbeat.Departures {
 		dispatcher.reportUpstreamChange(now, departure.Upstream, event.PeerEntry, dispatcher.membership.ApplyDeparture(now, departure))
 	}
@@ -81,6 +82,7 @@
 		Cleared:       dispatcher.cleared,
 	}
 	dispatcher.cleared = nil
+	heartbeat = dispatcher.addCrashReports(now, heartbeat)
 	if dispatcher.mesh.KnownCount() > largeFleet {
 		dispatcher.heartbeatDue = now + largeFleetIntervalFactor*dispatcher.settings.HeartbeatInterval
 	} else {
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -27,9 +27,11 @@
 // requestRow is the state of one request without a final outcome.
 type requestRow struct {
 	request event.Request
-	pool    string
-	state   requestState
-	arrived time.Duration
+	// attributes are those by which the request is found to crash upstreams.
+	attributes []uint64
+	pool       string
+	state      requestState
+	arrived    time.Duration
 	// deadline is when the request has to be finished, waitDeadline until when it
 	// may wait for a usable upstream.
 	deadline     time.Duration
@@ -47,6 +49,7 @@
 	// the request was sent to it.
 	prefillTokens     int
 	firstByteReceived bool
+	firstByteAt       time.Duration
 	// progressedAt is when the response was last reported to progress, events how many
 	// events of the attempt had come by then.
 	progressedAt time.Duration
@@ -110,7 +113,7 @@
 // submit accepts or rejects a new request. Its deadline follows from the shorter of the
 // caller's timeout and the class's time limit, or from maxRequestTime without either.
 func (dispatcher *Dispatcher) submit(now time.Duration, request event.Request) {
-	row := requestRow{request: request, arrived: now, deadline: now + request.Timeout}
+	row := requestRow{request: request, attributes: crashAttributes(request), arrived: now, deadline: now + request.Timeout}
 	if request.Timeout == 0 {
 		row.deadline = now + maxRequestTime
 	}
@@ -133,6 +136,9 @@
 	if crashes, remaining := dispatcher.crashes(now, row); crashes >= crashLimit {
 		return message.Suspect, remaining
 	}
+	if remaining, blamed := dispatcher.crashCauses.Cause(now, row.attributes); blamed {
+		return message.Suspect, remaining
+	}
 	return message.NoReason, 0
 }
 
--- a/internal/core/dispatch/suspicions.go
+++ b/internal/core/dispatch/suspicions.go
@@ -51,13 +51,15 @@
 
 func (dispatcher *Dispatcher) suspected(now time.Duration, row requestRow) bool {
 	crashes, _ := dispatcher.crashes(now, row)
-	return crashes >= crashLimit
+	_, blamed := dispatcher.crashCauses.Cause(now, row.attributes)
+	return blamed || crashes >= crashLimit
 }
 
 // addCrash counts an interrupted response as a crash of the upstream caused by the
 // request. removeFalseCrashes removes it again if the upstream turns out not to have
 // crashed.
 func (dispatcher *Dispatcher) addCrash(now time.Duration, row requestRow) {
+	dispatcher.reportInterruption(now, row)
 	crashes, _ := dispatcher.crashes(now, row)
 	dispatcher.localSuspects.Raise(now, row.request.Fingerprint, crashes+1)
 	dispatcher.reportSuspicion(event.Suspected, row.request.Fingerprint, crashes+1)
@@ -68,6 +70,7 @@
 // between lateDataWindow and minRestartTime after an interruption shows that the
 // response was lost with its connection and that the upstream did not crash.
 func (dispatcher *Dispatcher) removeFalseCrashes(now time.Duration, name string) {
+	dispatcher.refuteInterruptions(now, name)
 	upstream := dispatcher.upstream(name)
 	if len(upstream.crashSuspects) == 0 {
 		return
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -250,6 +250,12 @@
 	// SuspicionCleared means that the upstream did not crash, or that the request
 	// completed.
 	SuspicionCleared
+	// Blamed means that upstreams crash under requests with the attribute in Name, a part
+	// of their prompts or the fingerprint of a request.
+	Blamed
+	// BlameCleared means that an upstream survived such a request, or that another
+	// attribute explains the crashes.
+	BlameCleared
 )
 
 func (UpstreamUpdated) input()   {}
--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -311,6 +311,11 @@
 	return addresses
 }
 
+// FullyConnected returns whether this entry has a link to each entry that it knows.
+func (mesh *Mesh) FullyConnected() bool {
+	return mesh.links.Len() >= mesh.peers.Len()
+}
+
 // KnownCount returns the number of known entries, this one included.
 func (mesh *Mesh) KnownCount() int {
 	return mesh.peers.Len() + 1
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -290,6 +290,7 @@
 var stateEvents = map[event.State]logevent.Name{
 	event.Usable: logevent.UpstreamUsable, event.Leaving: logevent.UpstreamLeft, event.Unresponsive: logevent.UpstreamSilent,
 	event.Suspected: logevent.RequestSuspected, event.SuspicionCleared: logevent.RequestCleared,
+	event.Blamed: logevent.CrashCauseFound, event.BlameCleared: logevent.CrashCauseCleared,
 }
 
 // handleStateChange handles the outputs that report a change of the entry's state: log
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -32,6 +32,8 @@
 	CacheReported     Name = "kept-read"
 	RequestSuspected  Name = "request-suspected"
 	RequestCleared    Name = "request-cleared"
+	CrashCauseFound   Name = "crash-cause-found"
+	CrashCauseCleared Name = "crash-cause-cleared"
 	LinkOpened        Name = "link-opened"
 	LinkClosed        Name = "link-closed"
 	LinkRefused       Name = "link-refused"
@@ -83,6 +85,15 @@
 		"name, source, version",
 	},
 	{RequestCleared, "a suspicion was cleared: the upstream did not crash, or the request completed later; name is its fingerprint", "name, source, version"},
+	{
+		CrashCauseFound, "requests with an attribute are rejected because upstreams crash under them; name is the ID of a prompt part or a request's fingerprint",
+		"name",
+	},
+	{
+		CrashCauseCleared, "requests with an attribute are served again: an upstream survived one, or another attribute explains the crashes; " +
+			"name is as in crash-cause-found",
+		"name",
+	},
 	{LinkOpened, "a connection to another entry was opened", "peer"},
 	{LinkClosed, "a connection to another entry was closed", "peer, error"},
 	{LinkRefused, "a connection from a process without the shared secret or with another protocol version was refused", "error"},
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -1,5 +1,7 @@
 package message
 
+import "time"
+
 // EntryHeartbeat is the periodic message between entries that reach upstreams
 // without sidecars. ConfigVersion is the version of the sender's active document,
 // Entries the addresses of the other entries that it knows. Loads is the sender's own
@@ -13,6 +15,32 @@
 	Suspicions    []Suspicion    `cbor:"5,keyasint,omitempty"`
 	// Cleared are the fingerprints of requests whose suspicions were cleared.
 	Cleared []uint64 `cbor:"6,keyasint,omitempty"`
+	// Interruptions, Refuted and Survivals are what the sender learned of crashes since
+	// its last heartbeat, or all that it knows after a link has opened. Refuted are the
+	// interrupted attempts whose upstreams did not crash.
+	Interruptions []Interruption `cbor:"7,keyasint,omitempty"`
+	Refuted       []RequestID    `cbor:"8,keyasint,omitempty"`
+	Survivals     []Survival     `cbor:"9,keyasint,omitempty"`
+}
+
+// Interruption reports that an upstream broke off its response to an attempt, perhaps
+// because it crashed. Age is the time since then, SentAge since the request was sent.
+// Attributes are the IDs of the prompt's parts, in their order, and the fingerprint of the
+// request.
+type Interruption struct {
+	Attempt    RequestID     `cbor:"1,keyasint"`
+	Upstream   string        `cbor:"2,keyasint"`
+	Age        time.Duration `cbor:"3,keyasint"`
+	SentAge    time.Duration `cbor:"4,keyasint"`
+	Attributes []uint64      `cbor:"5,keyasint,omitempty"`
+}
+
+// Survival reports that an upstream survived the response to a request with the attribute.
+// Attempts are the interrupted ones before which the request was not sent yet: they do not
+// count against the attribute.
+type Survival struct {
+	Attribute uint64      `cbor:"1,keyasint"`
+	Attempts  []RequestID `cbor:"2,keyasint,omitempty"`
 }
 
 // UpstreamLoad is one entry's work in flight at one upstream.
