Do not take a stream that ends with its connection before any event for complete

An upstream's response may have neither a length nor chunks and end with its connection. If an engine crashed before its first event, the caller got an empty stream with status 200, and the request counted as one that its engine had survived.

Such a stream now counts as interrupted: a request that may be repeated is, any other one ends with 502.

--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -31,6 +31,7 @@
 var (
 	errDeadline           = errors.New("the deadline of the request has passed")
 	errUnsigned           = errors.New("the upstream's response is not signed")
+	errNoEvents           = errors.New("the upstream closed the connection before any event of the stream")
 	errTooLarge           = errors.New("the upstream's response is too large")
 	errCallerDisconnected = errors.New("the response could not be written to the caller")
 )
--- a/internal/node/direct/relay.go
+++ b/internal/node/direct/relay.go
@@ -23,12 +23,16 @@
 
 // relay forwards events as they arrive. The header is sent with the first event, so
 // that the request can be retried at another upstream until then; for a stream without
-// events it is sent at the end.
+// events it is sent at the end. A stream that ends with its connection before any event
+// is not complete: the upstream may have crashed.
 func (inflight *inflight) relay(attempt event.Attempt, answer *exchange.Answer) error {
 	reader := eventstream.New(answer.Body)
 	progress := progress{loop: inflight.entry.loop, attempt: attempt}
 	for {
 		data, err := reader.Next()
+		if errors.Is(err, io.EOF) && !inflight.started && !answer.Framed() {
+			return errNoEvents
+		}
 		if errors.Is(err, io.EOF) {
 			inflight.startResponse(answer)
 			return nil
--- a/internal/node/exchange/answer.go
+++ b/internal/node/exchange/answer.go
@@ -39,6 +39,12 @@
 	return conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// Framed reports whether the response has a length or chunks, so that its end differs from
+// the end of its connection.
+func (answer *Answer) Framed() bool {
+	return answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
+}
+
 // Close releases the connection. Complete means that the body was read to its end;
 // the connection is then reused unless it is broken, the response forbids it, its body
 // has no framing, unread bytes remain or the request was not written completely.
@@ -47,8 +53,7 @@
 		conn := answer.connection
 		alive := answer.stop()
 		idleFor, reusable := keepAlive(answer.Response, conn.idleTimeout)
-		framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-		if !alive || !complete || !reusable || !framed || conn.reader.Buffered() > 0 || !conn.wroteAll() {
+		if !alive || !complete || !reusable || !answer.Framed() || conn.reader.Buffered() > 0 || !conn.wroteAll() {
 			conn.close()
 			return
 		}
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -183,6 +183,9 @@
 		{"a stream without the [DONE] event", stream("data: a\n\n"), message.Incomplete, 2, true},
 		{"a stream that ends within an event", stream("data: a\n\n", "data: b"), message.Incomplete, 2, true},
 		{"a complete response, not streamed", plain(http.StatusOK, "whole"), message.Complete, 2, false},
+		{"a response that ends with its connection", unframed("", "whole"), message.Complete, 2, false},
+		{"a stream that ends with its connection", unframed(eventStream, "data: a\n\ndata: [DONE]\n\n"), message.Complete, 3, false},
+		{"a stream that ends with its connection within an event", unframed(eventStream, "data: a\n\ndata: b"), message.Incomplete, 2, true},
 		{"an error response", plain(http.StatusConflict, "taken"), message.Failed, 2, false},
 		{"a body shorter than its Content-Length", truncated, message.Incomplete, 2, true},
 		{"a connection closed before the response", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
@@ -221,6 +224,21 @@
 	}
 }
 
+const eventStream = "Content-Type: text/event-stream\r\n"
+
+// unframed returns a handler whose response has neither a length nor chunks.
+func unframed(header, body string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		conn, buffered, err := http.NewResponseController(writer).Hijack()
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n%s\r\n%s", header, body)
+		_ = buffered.Flush()
+		_ = conn.Close()
+	}
+}
+
 func truncated(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Length", "100")
 	fmt.Fprint(writer, "short")
