--- a/internal/core/simulation/recorder_test.go
+++ b/internal/core/simulation/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"endivepost/internal/config/document"
@@ -128,6 +129,9 @@
 	request := event.Request{ID: id, Account: "account", Class: class, Fingerprint: hashOf(body)}
 	request.Payload = message.Payload{Method: "POST", Path: "/", Body: []byte(body), Stream: stream, TraceParent: id.String(), NonIdempotent: class.NonIdempotent}
 	copy(request.BodyDigest[:], body)
+	if first, _, found := strings.Cut(body, partSeparator); found {
+		request.Prompt.Parts = []message.PromptPart{{ID: hashOf(first)}, {ID: hashOf(body)}}
+	}
 	if key != "" {
 		copy(request.Key[:], key)
 		request.KeyCreatedAt = simulation.recorder.keyTime(simulation.now, key)
@@ -180,7 +184,7 @@
 	simulation.recorder.runCounts["body "+body]++
 	run := &upstreamRun{start: start, body: body, next: start.ResumeFrom + 1, total: responseTokens}
 	process.runs[start.ID] = run
-	if body == crashingBody {
+	if body == crashingBody || strings.HasPrefix(body, crashingBody+partSeparator) {
 		simulation.recorder.crashes[process.name]++
 		simulation.crashUpstream(process)
 		return
@@ -192,6 +196,10 @@
 // crashingBody is the body of a request that crashes each upstream that runs it.
 const crashingBody = "poison"
 
+// partSeparator separates the first part of a prompt from the rest of the body. A request
+// whose first part is crashingBody crashes its upstream too.
+const partSeparator = "/"
+
 func (simulation *simulation) produce(process *process, boot uint64, run *upstreamRun) {
 	simulation.after(simulation.jitter(200), func() {
 		if !process.alive || process.boot != boot || process.runs[run.start.ID] != run {
--- a/internal/core/simulation/suspects_test.go
+++ b/internal/core/simulation/suspects_test.go
@@ -60,3 +60,33 @@
 		}
 	}
 }
+
+// maxCrashes is the number of upstreams that requests with one prompt part may crash: five
+// until they must stop, and three more.
+const maxCrashes = 8
+
+// TestPartThatCrashesUpstreams guards against requests that crash one upstream after the
+// other because of a part of their prompts, though no two of them are equal.
+func TestPartThatCrashesUpstreams(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		simulation := newSimulation(rapid.Uint64().Draw(t, "seed"), 3, 4, published(1, 4))
+		simulation.advance(3 * time.Second)
+		draft := classes()[1]
+		for i := range 60 {
+			if i%4 == 0 {
+				simulation.submit(simulation.entries[i/4%3], draft, fmt.Sprintf("%s%s%d", crashingBody, partSeparator, i), "", true)
+			}
+			simulation.submit(simulation.entries[i%3], draft, fmt.Sprintf("sound%s%d", partSeparator, i), "", i%2 == 0)
+			simulation.advance(time.Duration(rapid.IntRange(200, 1500).Draw(t, "wait")) * time.Millisecond)
+		}
+		simulation.advance(time.Minute)
+		crashes := 0
+		for _, count := range simulation.recorder.crashes {
+			crashes += count
+		}
+		if crashes > maxCrashes {
+			t.Errorf("%d upstreams crashed, want at most %d", crashes, maxCrashes)
+		}
+	})
+}
