Read and log the rate limits that upstreams name

No line of any entry tells of the limit: the field Server-Limit was never read, so the logs cannot tell an entry that ignores it from entries that each keep to it by themselves.

Entries now parse the field, log upstream-limited and upstream-unlimited as it changes, and report an invalid value like other invalid fields. Nothing is decided by it yet.

--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -31,6 +31,9 @@
 	cache *prefixcache.Cache
 	// pace is that of this entry's own streams there.
 	pace pace.Pace
+	// limitPerSecond is the rate limit that the upstream named, if it is limited.
+	limited        bool
+	limitPerSecond float64
 	// crashSuspects are the requests whose responses it interrupted lately.
 	crashSuspects []crashSuspect
 }
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -89,6 +89,15 @@
 	Events int
 }
 
+// LimitReported reports what the head of a response says of its upstream's rate limit:
+// PerSecond is the number of requests per second that the upstream takes from all entries
+// together, if Limited is true.
+type LimitReported struct {
+	Upstream  string
+	Limited   bool
+	PerSecond float64
+}
+
 // AttemptEnded reports how an attempt ended.
 type AttemptEnded struct {
 	ID     message.RequestID
@@ -256,6 +265,11 @@
 	// BlameCleared means that an upstream survived such a request, or that another
 	// attribute explains the crashes.
 	BlameCleared
+	// Limited means that the upstream named a rate limit. Version is the limit in requests
+	// per 1000 seconds.
+	Limited
+	// LimitEnded means that the upstream no longer names a rate limit.
+	LimitEnded
 )
 
 func (UpstreamUpdated) input()   {}
@@ -266,6 +280,7 @@
 func (PeerDiscovered) input()    {}
 func (CacheReported) input()     {}
 func (AttemptFirstByte) input()  {}
+func (LimitReported) input()     {}
 func (AttemptEnded) input()      {}
 func (AttemptProgressed) input() {}
 
--- a/internal/node/dialect/dialect.go
+++ b/internal/node/dialect/dialect.go
@@ -70,4 +70,14 @@
 	Misdirected bool
 	// Signed means that the response carries the upstream's signature.
 	Signed bool
+	// Limit is the rate of requests that the upstream takes from all entries together.
+	Limit RateLimit
+}
+
+// RateLimit is what a response says of the upstream's rate limit. PerSecond is in requests
+// per second and counts only if Named is true. Err is why a named limit is invalid.
+type RateLimit struct {
+	Named     bool
+	PerSecond float64
+	Err       error
 }
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -156,6 +156,7 @@
 	complete := false
 	defer func() { answer.Close(complete) }()
 	info := inflight.entry.settings.Dialect.ParseResponse(answer.Response)
+	inflight.entry.reportLimit(attempt.Upstream, info.Limit)
 	switch {
 	case info.NotRun:
 		complete = answer.Drain()
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -51,6 +51,8 @@
 	mutex      sync.Mutex
 	links      map[string]numberedLink
 	active     map[message.RequestID]*commands
+	// limited has the upstreams of which a rate limit is known.
+	limited map[string]bool
 }
 
 // Settings of an Entry. Boot must be random: it makes request IDs unique. Secret is
@@ -134,6 +136,7 @@
 		exchange:  exchange.New(exchange.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: maxIdlePerUpstream}),
 		links:     make(map[string]numberedLink),
 		active:    make(map[message.RequestID]*commands),
+		limited:   make(map[string]bool),
 	}
 	random := rand.New(rand.NewPCG(settings.Boot, settings.Boot))
 	entry.dispatcher = dispatch.New(dispatch.Settings{
@@ -291,6 +294,7 @@
 	event.Usable: logevent.UpstreamUsable, event.Leaving: logevent.UpstreamLeft, event.Unresponsive: logevent.UpstreamSilent,
 	event.Suspected: logevent.RequestSuspected, event.SuspicionCleared: logevent.RequestCleared,
 	event.Blamed: logevent.CrashCauseFound, event.BlameCleared: logevent.CrashCauseCleared,
+	event.Limited: logevent.UpstreamLimited, event.LimitEnded: logevent.UpstreamUnlimited,
 }
 
 // handleStateChange handles the outputs that report a change of the entry's state: log
@@ -306,8 +310,11 @@
 	case event.DocumentRejected:
 		entry.log(logevent.ConfigRejected).WithError(output.Err).Error()
 	case event.StateChanged:
-		if output.State == event.Unresponsive {
+		switch output.State {
+		case event.Unresponsive:
 			entry.exchange.Drop(output.Address)
+		case event.Limited, event.LimitEnded, event.Leaving:
+			entry.setLimited(output.Name, output.State == event.Limited)
 		}
 		entry.telemetry.Metrics.Tagged(map[string]string{"belief": string(stateEvents[output.State])}).Counter("beliefs").Inc(1)
 		entry.log(stateEvents[output.State]).WithFields(logrus.Fields{
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -32,6 +32,8 @@
 	CacheReported     Name = "kept-read"
 	RequestSuspected  Name = "request-suspected"
 	RequestCleared    Name = "request-cleared"
+	UpstreamLimited   Name = "upstream-limited"
+	UpstreamUnlimited Name = "upstream-unlimited"
 	CrashCauseFound   Name = "crash-cause-found"
 	CrashCauseCleared Name = "crash-cause-cleared"
 	LinkOpened        Name = "link-opened"
@@ -79,6 +81,8 @@
 	{UpstreamUsable, "an upstream became available for requests; source is what reported it, version the revision of its row", "name, source, version"},
 	{UpstreamLeft, "an upstream is leaving or removed and gets no further requests", "name, source, version"},
 	{UpstreamSilent, "an upstream has requests in flight and sends no data; version is for how long, in ms", "name, source, version"},
+	{UpstreamLimited, "an upstream named a limit of the requests that it takes from all entries; version is the limit per 1000 s", "name, source, version"},
+	{UpstreamUnlimited, "an upstream no longer names a limit", "name, source, version"},
 	{CacheReported, "an engine was queried for its cached prompt parts because no other entry could list them; parts is their number", "name, parts, error"},
 	{
 		RequestSuspected, "an upstream failed while it ran a request; name is the request's fingerprint, version the number of such upstreams",
