--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -62,10 +62,13 @@
 	remote     *fleetLink
 }
 
-// fleetEngine serves any number of requests at once, and none before downUntil.
+// fleetEngine serves any number of requests at once, and none before downUntil. If limited,
+// its responses name limitPerSecond.
 type fleetEngine struct {
-	name      string
-	downUntil time.Duration
+	name           string
+	downUntil      time.Duration
+	limited        bool
+	limitPerSecond float64
 }
 
 // fleetRun is a request with its current attempt. Crashing requests crash the engine as
@@ -160,6 +163,27 @@
 	fleet.after(duration, func() { entry.cut = false })
 }
 
+// disruptEntry restarts an entry, pauses it or cuts it off, in turn.
+func (fleet *fleet) disruptEntry(turn int) {
+	entry := fleet.entries[turn%len(fleet.entries)]
+	switch turn % 3 {
+	case 0:
+		fleet.start(entry)
+	case 1:
+		fleet.pause(entry, 2*time.Second)
+	default:
+		fleet.cutOff(entry, 4*time.Second)
+	}
+}
+
+// fleetSeeds returns the number of seeds to run: large fleets take long.
+func fleetSeeds(entries int) uint64 {
+	if entries > 10 {
+		return 1
+	}
+	return 4
+}
+
 // inTouch returns whether the entry has been undisturbed for the given time.
 func (fleet *fleet) inTouch(entry *fleetEntry, calm time.Duration) bool {
 	return fleet.now-entry.disruptedAt >= calm
@@ -319,6 +343,9 @@
 	}
 	run.began = true
 	fleet.started(run)
+	if engine := run.engine; engine.limited || engine.limitPerSecond > 0 {
+		fleet.report(run, event.LimitReported{Upstream: engine.name, Limited: engine.limited, PerSecond: engine.limitPerSecond})
+	}
 	fleet.report(run, event.AttemptFirstByte{ID: run.request.ID, Number: run.attempt.Number})
 	const interval = 250 * time.Millisecond
 	for passed := interval; passed < run.delivery; passed += interval {
--- a/internal/core/dispatch/prompt_part_crash_test.go
+++ b/internal/core/dispatch/prompt_part_crash_test.go
@@ -178,28 +178,12 @@
 	}
 	load.at(crashesFrom, func() {
 		load.every(crashesEnd-contact, gap, func() {
-			entry := load.entries[turn%len(load.entries)]
-			switch turn % 3 {
-			case 0:
-				load.start(entry)
-			case 1:
-				load.pause(entry, 2*time.Second)
-			default:
-				load.cutOff(entry, 4*time.Second)
-			}
+			load.disruptEntry(turn)
 			turn++
 		})
 	})
 }
 
-// crashSeeds returns the number of seeds: large fleets take long to run.
-func crashSeeds(entries int) uint64 {
-	if entries > 10 {
-		return 1
-	}
-	return 4
-}
-
 // TestPartThatCrashesEngines guards against requests that crash one engine after the
 // other because of a part of their prompts, though no two of them are equal: they must
 // stop at all entries soon after the fifth crash, and sound requests that share their
@@ -212,7 +196,7 @@
 				name := fmt.Sprintf("%d entries, layout %d, disrupted %t", entries, layout, disrupted)
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
-					for seed := range crashSeeds(entries) {
+					for seed := range fleetSeeds(entries) {
 						load := newCrashLoad(entries, layout, seed)
 						load.watchEngines()
 						if disrupted {
@@ -261,7 +245,7 @@
 		for _, row := range cases {
 			t.Run(fmt.Sprintf("%s, %d entries", row.name, entries), func(t *testing.T) {
 				t.Parallel()
-				for seed := range crashSeeds(entries) {
+				for seed := range fleetSeeds(entries) {
 					load := newCrashLoad(entries, newMiddlePart, seed)
 					load.crashingRate = 0
 					load.at(crashesFrom, func() {
