Keep to the rate limits that upstreams name, all entries together

Cause: no entry read the limit. An entry that kept to it by itself would not be enough: the limit is for all of them, and entries send without asking each other.

An entry that reads a limit tells the others, with when it was first and last named; the latest word counts, and a response without the field ends it. Each entry uses an equal share. If all shares at once would be far above the limit, as with 40 entries and a limit of 1, entries take turns instead, in slots that all count from when the limit was first named. A request that no upstream may be sent now waits like one for which no engine has capacity, and is rejected when it can no longer be served in time.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -30,11 +30,15 @@
 	admitInterval = 10 * time.Millisecond
 )
 
-// hasCapacity returns whether the engine may be sent the request now: it has a free
+// hasCapacity returns whether the upstream may be sent the request now. Its rate limit, if
+// it named one, must leave a request. An engine must also have a free
 // batch slot and enough KV cache, and it has nothing to prefill or stays within
 // maxPrefillTokens. A request to a plain service, one that bypasses the queue and an
 // interrupted stream that the caller has received in part are sent in any case.
 func (dispatcher *Dispatcher) hasCapacity(now time.Duration, row requestRow, chosen choice) bool {
+	if !dispatcher.withinLimit(now, chosen.upstream.Name) {
+		return false
+	}
 	pool, ok := dispatcher.config.Document().Pool(row.pool)
 	if !ok || pool.Engine.Batch == 0 {
 		return true
@@ -145,7 +149,7 @@
 	return dispatcher.chooseFrom(now, row, func(upstream event.Upstream) bool {
 		load := dispatcher.allLoads()[upstream.Name]
 		fits := load.PrefillTokens+row.request.Prompt.Tokens <= maxPrefillTokens && dispatcher.fitsKVCache(row, upstream.Name, row.request.Prompt.Tokens) &&
-			dispatcher.endsInTime(now, row, upstream.Name)
+			dispatcher.endsInTime(now, row, upstream.Name) && dispatcher.withinLimit(now, upstream.Name)
 		return dedicated[upstream.Name] == row.latencySensitive && fits
 	})
 }
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -80,6 +80,8 @@
 	capacityFreed    bool
 	// admitDue is the earliest time of the next pass over the queue.
 	admitDue time.Duration
+	// limitDue is when an upstream whose rate limit left no request may get one, 0 if none.
+	limitDue time.Duration
 	// totalLoads is the load of all entries by upstream, nil if it is out of date.
 	totalLoads map[string]message.UpstreamLoad
 	// queuedTokens counts the prompt tokens of the queued requests by tier.
@@ -184,6 +186,7 @@
 	dispatcher.reviewCrashCauses(now)
 	dispatcher.placeWaiting(now)
 	dispatcher.expireWaiting(now)
+	dispatcher.checkLimits(now)
 	dispatcher.admit(now)
 	dispatcher.moveFromUnresponsive(now)
 	dispatcher.emit(dispatcher.mesh.Dial(now)...)
@@ -208,6 +211,9 @@
 	if dispatcher.capacityFreed && len(dispatcher.queuedTokens) > 0 {
 		next = min(next, dispatcher.admitDue)
 	}
+	if dispatcher.limitDue > 0 && len(dispatcher.queuedTokens) > 0 {
+		next = min(next, dispatcher.limitDue)
+	}
 	if dispatcher.requests.Len() > 0 {
 		next = min(next, dispatcher.livenessCheckDue)
 	}
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -55,6 +55,7 @@
 		dispatcher.peerSuspects.Merge(now, suspicion)
 	}
 	dispatcher.handleCrashReports(now, heartbeat)
+	dispatcher.handlePeerLimits(now, heartbeat.Limits)
 	for _, departure := range heartbeat.Departures {
 		dispatcher.reportUpstreamChange(now, departure.Upstream, event.PeerEntry, dispatcher.membership.ApplyDeparture(now, departure))
 	}
@@ -80,6 +81,7 @@
 		Departures:    dispatcher.membership.Departures(now),
 		Suspicions:    dispatcher.localSuspects.Report(now, maxSuspicionsPerHeartbeat),
 		Cleared:       dispatcher.cleared,
+		Limits:        dispatcher.knownLimits(now),
 	}
 	dispatcher.cleared = nil
 	heartbeat = dispatcher.addCrashReports(now, heartbeat)
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -195,6 +195,9 @@
 	row.upstream = upstream.Name
 	row.prefillTokens = dispatcher.uncachedTokens(row, upstream.Name, nil)
 	dispatcher.addLoad(now, row)
+	upstreamRow := dispatcher.upstream(upstream.Name)
+	upstreamRow.limit.share = upstreamRow.limit.share.WithSent(now)
+	dispatcher.upstreams.Put(upstream.Name, upstreamRow)
 	dispatcher.requestDue.Remove(row.request.ID)
 	if !row.counted {
 		row.counted = true
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -30,10 +30,8 @@
 	// be cached there.
 	cache *prefixcache.Cache
 	// pace is that of this entry's own streams there.
-	pace pace.Pace
-	// limitPerSecond is the rate limit that the upstream named, if it is limited.
-	limited        bool
-	limitPerSecond float64
+	pace  pace.Pace
+	limit rateLimit
 	// crashSuspects are the requests whose responses it interrupted lately.
 	crashSuspects []crashSuspect
 }
@@ -99,7 +97,8 @@
 
 // choose returns the upstream to send the request to, if there is one. It excludes
 // upstreams that were tried for the request; those that failed lately or fail often
-// are chosen only if there is no other.
+// are chosen only if there is no other, and last those whose rate limit leaves no request
+// now.
 func (dispatcher *Dispatcher) choose(now time.Duration, row requestRow) (choice, bool) {
 	return dispatcher.chooseFrom(now, row, func(event.Upstream) bool { return true })
 }
@@ -107,11 +106,15 @@
 // chooseFrom chooses as choose does, among the eligible upstreams.
 func (dispatcher *Dispatcher) chooseFrom(now time.Duration, row requestRow, eligible func(event.Upstream) bool) (choice, bool) {
 	pool := dispatcher.pool(now, row.pool)
-	var candidates, untried []event.Upstream
+	var candidates, untried, limited []event.Upstream
 	for _, upstream := range pool.usable {
 		if slices.Contains(row.tried, upstream.Name) || !eligible(upstream) {
 			continue
 		}
+		if !dispatcher.withinLimit(now, upstream.Name) {
+			limited = append(limited, upstream)
+			continue
+		}
 		untried = append(untried, upstream)
 		if !pool.outliers[upstream.Name] && now >= dispatcher.upstream(upstream.Name).avoidUntil {
 			candidates = append(candidates, upstream)
@@ -120,6 +123,9 @@
 	if len(candidates) == 0 {
 		candidates = untried
 	}
+	if len(candidates) == 0 {
+		candidates = limited
+	}
 	if len(candidates) == 0 {
 		return choice{}, false
 	}
--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -328,6 +328,17 @@
 	return max(mesh.recentCount(now), mesh.KnownCount())
 }
 
+// Rank returns the place of this entry among those that share a fleet-wide limit, by address
+// and from 0 on, and their number.
+func (mesh *Mesh) Rank(now time.Duration) (rank, count int) {
+	for _, address := range mesh.peers.Keys() {
+		if address < mesh.settings.Self {
+			rank++
+		}
+	}
+	return rank, mesh.EntryCount(now)
+}
+
 func (mesh *Mesh) recentCount(now time.Duration) int {
 	count := 1
 	for _, address := range mesh.lastHeard.Keys() {
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -21,6 +21,19 @@
 	Interruptions []Interruption `cbor:"7,keyasint,omitempty"`
 	Refuted       []RequestID    `cbor:"8,keyasint,omitempty"`
 	Survivals     []Survival     `cbor:"9,keyasint,omitempty"`
+	// Limits are the rate limits that upstreams named, and those that ended lately.
+	Limits []UpstreamLimit `cbor:"10,keyasint,omitempty"`
+}
+
+// UpstreamLimit is the rate limit of an upstream, in requests per second from all entries
+// together. Age is the time since a response last named it or, if Limited is false, came
+// without it; Held is how long before that it was first named.
+type UpstreamLimit struct {
+	Upstream  string        `cbor:"1,keyasint"`
+	Limited   bool          `cbor:"2,keyasint,omitempty"`
+	PerSecond float64       `cbor:"3,keyasint,omitempty"`
+	Age       time.Duration `cbor:"4,keyasint,omitempty"`
+	Held      time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Interruption reports that an upstream broke off its response to an attempt, perhaps
