Keep what peers are to be told of crashes in the finder

The dispatcher kept lists of the reports that its next heartbeat carries, beside those of the finder. The finder now keeps them all and merges those of peers, so that the cores of entries with sidecars can use it too.

--- a/internal/core/crashcause/finder.go
+++ b/internal/core/crashcause/finder.go
@@ -25,8 +25,11 @@
 	evidence    map[uint64][]message.RequestID
 	interrupted map[string]time.Duration
 	survivals   *table.Table[uint64, survival]
-	// unshared are the survivals that peers have not been told yet.
-	unshared *table.Table[uint64, message.Survival]
+	// unshared and unsharedSurvivals are the reports that peers have not been told yet, and
+	// resend is true if they are to be told everything.
+	unshared          message.CrashReports
+	unsharedSurvivals *table.Table[uint64, message.Survival]
+	resend            bool
 	// causes is when the blame of each attribute ends.
 	causes map[uint64]time.Duration
 	// changed is true if something was reported since the last review.
@@ -84,17 +87,42 @@
 // New returns a finder without any reports.
 func New() *Finder {
 	return &Finder{
-		interruptions: table.New[message.RequestID, interruption](),
-		evidence:      make(map[uint64][]message.RequestID),
-		interrupted:   make(map[string]time.Duration),
-		survivals:     table.New[uint64, survival](),
-		unshared:      table.New[uint64, message.Survival](),
-		causes:        make(map[uint64]time.Duration),
+		interruptions:     table.New[message.RequestID, interruption](),
+		evidence:          make(map[uint64][]message.RequestID),
+		interrupted:       make(map[string]time.Duration),
+		survivals:         table.New[uint64, survival](),
+		unsharedSurvivals: table.New[uint64, message.Survival](),
+		causes:            make(map[uint64]time.Duration),
 	}
 }
 
-// Interrupted adds an interruption, and returns false if it is known or too old.
-func (finder *Finder) Interrupted(now time.Duration, report message.Interruption) bool {
+// Interrupted adds an interruption that this process saw.
+func (finder *Finder) Interrupted(now time.Duration, report message.Interruption) {
+	if finder.addInterruption(now, report) {
+		finder.unshared.Interruptions = append(finder.unshared.Interruptions, report)
+	}
+}
+
+// Merge adds the reports of a peer. If forward is true, what is new is passed on to the
+// other peers.
+func (finder *Finder) Merge(now time.Duration, reports message.CrashReports, forward bool) {
+	for _, report := range reports.Interruptions {
+		if finder.addInterruption(now, report) && forward {
+			finder.unshared.Interruptions = append(finder.unshared.Interruptions, report)
+		}
+	}
+	for _, attempt := range reports.Refuted {
+		if finder.refute(now, attempt) && forward {
+			finder.unshared.Refuted = append(finder.unshared.Refuted, attempt)
+		}
+	}
+	for _, report := range reports.Survivals {
+		finder.mergeSurvival(now, report, forward)
+	}
+}
+
+// addInterruption adds an interruption, and returns false if it is known or too old.
+func (finder *Finder) addInterruption(now time.Duration, report message.Interruption) bool {
 	row, known := finder.interruptions.Get(report.Attempt)
 	if row.upstream != "" || report.Upstream == "" || report.Age > memoryTime-minRemaining {
 		return false
@@ -129,9 +157,9 @@
 	}
 }
 
-// Refuted records that an attempt was interrupted though its upstream did not crash. It
+// refute records that an attempt was interrupted though its upstream did not crash. It
 // returns false if that is known.
-func (finder *Finder) Refuted(now time.Duration, attempt message.RequestID) bool {
+func (finder *Finder) refute(now time.Duration, attempt message.RequestID) bool {
 	row, known := finder.row(now, attempt)
 	if known && row.refuted {
 		return false
@@ -153,21 +181,19 @@
 }
 
 // Alive refutes the interruptions that the upstream cannot have caused by crashing, since
-// it has just sent data, and returns their attempts.
-func (finder *Finder) Alive(now time.Duration, upstream string) []message.RequestID {
+// it has just sent data.
+func (finder *Finder) Alive(now time.Duration, upstream string) {
 	at, found := finder.interrupted[upstream]
 	if !found || now-at < lateDataTime || now-at >= minRestartTime {
-		return nil
+		return
 	}
-	var refuted []message.RequestID
 	for _, attempt := range finder.interruptions.Keys() {
 		row, _ := finder.interruptions.Get(attempt)
 		since := now - row.at
-		if row.upstream == upstream && since >= lateDataTime && since < minRestartTime && finder.Refuted(now, attempt) {
-			refuted = append(refuted, attempt)
+		if row.upstream == upstream && since >= lateDataTime && since < minRestartTime && finder.refute(now, attempt) {
+			finder.unshared.Refuted = append(finder.unshared.Refuted, attempt)
 		}
 	}
-	return refuted
 }
 
 // Survived records that an upstream survived the response to a request with the
@@ -193,9 +219,8 @@
 	}
 }
 
-// PeerSurvived records a survival that a peer reported. Forward is true if it is to be
-// reported to other peers too.
-func (finder *Finder) PeerSurvived(now time.Duration, report message.Survival, forward bool) {
+// mergeSurvival adds a survival that a peer reported.
+func (finder *Finder) mergeSurvival(now time.Duration, report message.Survival, forward bool) {
 	if _, known := finder.survivals.Get(report.Attribute); !known {
 		finder.remember(report.Attribute, 0)
 		if !forward {
@@ -259,36 +284,50 @@
 
 // share adds to what peers are told of the attribute.
 func (finder *Finder) share(attribute uint64, attempts []message.RequestID) {
-	report, _ := finder.unshared.Get(attribute)
+	report, _ := finder.unsharedSurvivals.Get(attribute)
 	report.Attribute = attribute
 	report.Attempts = append(report.Attempts, attempts...)
-	finder.unshared.Put(attribute, report)
+	finder.unsharedSurvivals.Put(attribute, report)
+}
+
+// Resend has the next Take return everything, for a peer that has just connected.
+func (finder *Finder) Resend() {
+	finder.resend = true
 }
 
-// TakeSurvivals returns the survivals that peers have not been told yet, and counts them as
-// told.
-func (finder *Finder) TakeSurvivals() []message.Survival {
-	var reports []message.Survival
-	for _, attribute := range finder.unshared.Keys() {
-		report, _ := finder.unshared.Get(attribute)
-		reports = append(reports, report)
-		finder.unshared.Delete(attribute)
+// Urgent returns whether interruptions are to be told to the peers at once.
+func (finder *Finder) Urgent() bool {
+	return len(finder.unshared.Interruptions) > 0
+}
+
+// Take returns the reports that peers have not been told yet, and counts them as told.
+func (finder *Finder) Take(now time.Duration) message.CrashReports {
+	reports := finder.unshared
+	for _, attribute := range finder.unsharedSurvivals.Keys() {
+		report, _ := finder.unsharedSurvivals.Get(attribute)
+		reports.Survivals = append(reports.Survivals, report)
+		finder.unsharedSurvivals.Delete(attribute)
+	}
+	finder.unshared = message.CrashReports{}
+	if finder.resend {
+		finder.resend = false
+		return finder.all(now)
 	}
 	return reports
 }
 
-// Report returns all interruptions, refuted ones and survivals of their attributes, for a
-// peer that has just connected.
-func (finder *Finder) Report(now time.Duration) (interruptions []message.Interruption, refuted []message.RequestID, survivals []message.Survival) {
+// all returns all interruptions, refuted ones and survivals of their attributes.
+func (finder *Finder) all(now time.Duration) message.CrashReports {
+	var reports message.CrashReports
 	told := table.New[uint64, message.Survival]()
 	for _, attempt := range finder.interruptions.Keys() {
 		row, _ := finder.interruptions.Get(attempt)
 		if row.refuted {
-			refuted = append(refuted, attempt)
+			reports.Refuted = append(reports.Refuted, attempt)
 			continue
 		}
 		if row.upstream != "" {
-			interruptions = append(interruptions, message.Interruption{
+			reports.Interruptions = append(reports.Interruptions, message.Interruption{
 				Attempt: attempt, Upstream: row.upstream, Age: now - row.at, SentAge: now - row.sentAt, Attributes: row.attributes,
 			})
 		}
@@ -305,9 +344,9 @@
 	}
 	for _, attribute := range told.Keys() {
 		report, _ := told.Get(attribute)
-		survivals = append(survivals, report)
+		reports.Survivals = append(reports.Survivals, report)
 	}
-	return interruptions, refuted, survivals
+	return reports
 }
 
 // Cause returns whether one of the attributes is blamed for crashes, and for how long.
--- a/internal/core/crashcause/finder_test.go
+++ b/internal/core/crashcause/finder_test.go
@@ -111,10 +111,14 @@
 			reports = append(reports, func(finder *crashcause.Finder) { finder.Interrupted(now, reported) })
 			if rapid.Bool().Draw(t, "survives") {
 				survival := message.Survival{Attribute: attributes[0], Attempts: []message.RequestID{reported.Attempt}}
-				reports = append(reports, func(finder *crashcause.Finder) { finder.PeerSurvived(now, survival, false) })
+				reports = append(reports, func(finder *crashcause.Finder) {
+					finder.Merge(now, message.CrashReports{Survivals: []message.Survival{survival}}, false)
+				})
 			}
 			if rapid.IntRange(0, 4).Draw(t, "refuted") == 0 {
-				reports = append(reports, func(finder *crashcause.Finder) { finder.Refuted(now, reported.Attempt) })
+				reports = append(reports, func(finder *crashcause.Finder) {
+					finder.Merge(now, message.CrashReports{Refuted: []message.RequestID{reported.Attempt}}, false)
+				})
 			}
 		}
 		first, second := crashcause.New(), crashcause.New()
@@ -143,16 +147,8 @@
 		finder.Interrupted(now, interruption(i, int(i), 100*time.Millisecond, sharedPart, crashingPart, 100+i))
 	}
 	finder.Survived([]uint64{sharedPart, callersPart}, 1, now)
-	interruptions, refuted, survivals := finder.Report(now)
-	for _, report := range interruptions {
-		started.Interrupted(time.Second, report)
-	}
-	for _, attempt := range refuted {
-		started.Refuted(time.Second, attempt)
-	}
-	for _, report := range survivals {
-		started.PeerSurvived(time.Second, report, false)
-	}
+	finder.Resend()
+	started.Merge(time.Second, finder.Take(now), false)
 	want, _ := finder.Review(now)
 	if got, _ := started.Review(time.Second); fmt.Sprint(got) != fmt.Sprint(want) || len(got) != 1 || got[0] != crashingPart {
 		t.Errorf("got blamed %v, want %v", got, []uint64{crashingPart})
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -47,7 +47,6 @@
 	peerSuspects  *suspects.Table
 	// crashCauses finds what requests that crash upstreams have in common.
 	crashCauses    *crashcause.Finder
-	crashReports   crashReports
 	crashReviewDue time.Duration
 	// cleared are the fingerprints that the next heartbeat reports as cleared.
 	cleared      []uint64
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -55,7 +55,7 @@
 		dispatcher.emit(dispatcher.mesh.HandleOpened(now, input)...)
 		dispatcher.heartbeatDue = min(dispatcher.heartbeatDue, now)
 		dispatcher.schedulePlacementsPull(input)
-		dispatcher.crashReports.everything = true
+		dispatcher.crashCauses.Resend()
 	case event.LinkClosed:
 		dispatcher.mesh.HandleClosed(now, input)
 	case event.Received:
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -54,7 +54,7 @@
 	for _, suspicion := range heartbeat.Suspicions {
 		dispatcher.peerSuspects.Merge(now, suspicion)
 	}
-	dispatcher.handleCrashReports(now, heartbeat)
+	dispatcher.crashCauses.Merge(now, heartbeat.Crashes, !dispatcher.mesh.FullyConnected())
 	dispatcher.handlePeerLimits(now, heartbeat.Limits)
 	for _, departure := range heartbeat.Departures {
 		dispatcher.reportUpstreamChange(now, departure.Upstream, event.PeerEntry, dispatcher.membership.ApplyDeparture(now, departure))
@@ -81,10 +81,10 @@
 		Departures:    dispatcher.membership.Departures(now),
 		Suspicions:    dispatcher.localSuspects.Report(now, maxSuspicionsPerHeartbeat),
 		Cleared:       dispatcher.cleared,
+		Crashes:       dispatcher.crashCauses.Take(now),
 		Limits:        dispatcher.knownLimits(now),
 	}
 	dispatcher.cleared = nil
-	heartbeat = dispatcher.addCrashReports(now, heartbeat)
 	if dispatcher.mesh.KnownCount() > largeFleet {
 		dispatcher.heartbeatDue = now + largeFleetIntervalFactor*dispatcher.settings.HeartbeatInterval
 	} else {
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -113,7 +113,7 @@
 // submit accepts or rejects a new request. Its deadline follows from the shorter of the
 // caller's timeout and the class's time limit, or from maxRequestTime without either.
 func (dispatcher *Dispatcher) submit(now time.Duration, request event.Request) {
-	row := requestRow{request: request, attributes: crashAttributes(request), arrived: now, deadline: now + request.Timeout}
+	row := requestRow{request: request, attributes: request.CrashAttributes(), arrived: now, deadline: now + request.Timeout}
 	if request.Timeout == 0 {
 		row.deadline = now + maxRequestTime
 	}
--- a/internal/core/dispatch/suspicions.go
+++ b/internal/core/dispatch/suspicions.go
@@ -70,7 +70,7 @@
 // between lateDataWindow and minRestartTime after an interruption shows that the
 // response was lost with its connection and that the upstream did not crash.
 func (dispatcher *Dispatcher) removeFalseCrashes(now time.Duration, name string) {
-	dispatcher.refuteInterruptions(now, name)
+	dispatcher.crashCauses.Alive(now, name)
 	upstream := dispatcher.upstream(name)
 	if len(upstream.crashSuspects) == 0 {
 		return
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -27,6 +27,16 @@
 	return prompt.Parts[:max(len(prompt.Parts)-1, 0)]
 }
 
+// CrashAttributes returns what the request may have in common with others that crash
+// upstreams: its prompt parts, from the most to the least shared, and its fingerprint.
+func (request Request) CrashAttributes() []uint64 {
+	attributes := make([]uint64, 0, len(request.Prompt.Parts)+1)
+	for _, part := range request.Prompt.Parts {
+		attributes = append(attributes, part.ID)
+	}
+	return append(attributes, request.Fingerprint)
+}
+
 // PromptPart is a sequence of tokens that all prompts with a part of this ID share.
 type PromptPart = message.PromptPart
 
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -14,15 +14,24 @@
 	Departures    []Departure    `cbor:"4,keyasint,omitempty"`
 	Suspicions    []Suspicion    `cbor:"5,keyasint,omitempty"`
 	// Cleared are the fingerprints of requests whose suspicions were cleared.
-	Cleared []uint64 `cbor:"6,keyasint,omitempty"`
-	// Interruptions, Refuted and Survivals are what the sender learned of crashes since
-	// its last heartbeat, or all that it knows after a link has opened. Refuted are the
-	// interrupted attempts whose upstreams did not crash.
-	Interruptions []Interruption `cbor:"7,keyasint,omitempty"`
-	Refuted       []RequestID    `cbor:"8,keyasint,omitempty"`
-	Survivals     []Survival     `cbor:"9,keyasint,omitempty"`
+	Cleared []uint64     `cbor:"6,keyasint,omitempty"`
+	Crashes CrashReports `cbor:"7,keyasint,omitzero"`
 	// Limits are the rate limits that upstreams named, and those that ended lately.
-	Limits []UpstreamLimit `cbor:"10,keyasint,omitempty"`
+	Limits []UpstreamLimit `cbor:"8,keyasint,omitempty"`
+}
+
+// CrashReports are what the sender learned of crashes since its last heartbeat, or all that
+// it knows after a link has opened. Refuted are the interrupted attempts whose upstreams did
+// not crash.
+type CrashReports struct {
+	Interruptions []Interruption `cbor:"1,keyasint,omitempty"`
+	Refuted       []RequestID    `cbor:"2,keyasint,omitempty"`
+	Survivals     []Survival     `cbor:"3,keyasint,omitempty"`
+}
+
+// IsZero returns whether there are no reports.
+func (reports CrashReports) IsZero() bool {
+	return len(reports.Interruptions) == 0 && len(reports.Refuted) == 0 && len(reports.Survivals) == 0
 }
 
 // UpstreamLimit is the rate limit of an upstream, in requests per second from all entries
--- a/internal/wire/message/message.go
+++ b/internal/wire/message/message.go
@@ -84,6 +84,7 @@
 	Load          Load          `cbor:"4,keyasint,omitempty"`
 	Leaving       bool          `cbor:"5,keyasint,omitempty"`
 	Suspicions    []Suspicion   `cbor:"6,keyasint,omitempty"`
+	Crashes       CrashReports  `cbor:"7,keyasint,omitzero"`
 }
 
 // Reserve adds a reservation to a sidecar's queue. With a Payload the request is
@@ -110,6 +111,9 @@
 	ResumeFrom    int           `cbor:"12,keyasint,omitempty"`
 	Payload       *Payload      `cbor:"13,keyasint,omitempty"`
 	Crashes       int           `cbor:"14,keyasint,omitempty"`
+	// Attributes are what the request may have in common with others that crash upstreams,
+	// as in an Interruption.
+	Attributes []uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // Claim offers an entry a free slot for its reservation.
