Find crashing prompt parts in entries with sidecars too

A sidecar reports which runs a crash interrupted and which it survived, with the attributes that come with each reservation; entries and sidecars pass the reports on by their heartbeats. An entry rejects new, waiting and repeated requests with a blamed attribute. The messages of a chat, up to 16, are the parts of its prompt.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"endivepost/internal/config/distribution"
+	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/idempotency"
 	"endivepost/internal/core/suspects"
@@ -43,7 +44,10 @@
 	refusalDue     *timerqueue.Queue[message.RequestID]
 	keys           *idempotency.Table
 	suspects       *suspects.Table
-	config         *distribution.Distributor
+	// crashCauses collects reports of crashes from this upstream and from the entries, and
+	// passes them on to all entries.
+	crashCauses *crashcause.Finder
+	config      *distribution.Distributor
 	// claimed and running count the occupied slots.
 	claimed      int
 	running      int
@@ -117,6 +121,7 @@
 		refusalDue:       timerqueue.New[message.RequestID](),
 		keys:             idempotency.New(settings.Keys),
 		suspects:         suspects.New(maxSuspects),
+		crashCauses:      crashcause.New(),
 		config:           distribution.New(),
 		upstreamUp:       true,
 		lastSuspectCrash: -crashWindow,
@@ -135,6 +140,9 @@
 	controller.expireRuns(now)
 	controller.expireRefusals(now)
 	controller.dispatch(now)
+	if controller.crashCauses.Urgent() {
+		controller.heartbeatDue = min(controller.heartbeatDue, now)
+	}
 	controller.sendHeartbeats(now)
 	controller.reportDrained(now)
 	controller.lastStep = now
--- a/internal/core/admission/links.go
+++ b/internal/core/admission/links.go
@@ -52,6 +52,7 @@
 	}
 	controller.refuseQueuedFrom(now, opened.Peer)
 	controller.links.Put(opened.Peer, linkRow{number: opened.Link, open: true, heardAt: now})
+	controller.crashCauses.Resend()
 	controller.heartbeatDue = min(controller.heartbeatDue, now)
 }
 
@@ -90,6 +91,7 @@
 func (controller *Controller) handleHeartbeat(now time.Duration, received event.Received, heartbeat message.Heartbeat) {
 	link, _ := controller.links.Get(received.Peer)
 	controller.links.Put(received.Peer, link.WithHeartbeat(heartbeat))
+	controller.crashCauses.Merge(now, heartbeat.Crashes, true)
 	controller.emit(controller.config.ObserveVersion(now, received.Peer, received.Link, heartbeat.ConfigVersion)...)
 }
 
@@ -137,5 +139,6 @@
 		Load:          controller.Load(),
 		Leaving:       controller.draining,
 		Suspicions:    controller.suspects.Report(now, maxSuspicionsPerHeartbeat),
+		Crashes:       controller.crashCauses.Take(now),
 	}
 }
--- a/internal/core/admission/runs.go
+++ b/internal/core/admission/runs.go
@@ -191,6 +191,7 @@
 // was in flight, or has crashed within crashWindow, the crash is attributed to it alone
 // and not to the other runs.
 func (controller *Controller) updateSuspects(now time.Duration, run runRow, ended event.RunEnded) {
+	controller.reportCrash(now, run, ended)
 	suspect := run.reserve.Crashes > 0
 	switch {
 	case ended.Crashed && suspect:
@@ -204,6 +205,19 @@
 	}
 }
 
+// reportCrash reports that the upstream crashed during the run, or that it survived it.
+func (controller *Controller) reportCrash(now time.Duration, run runRow, ended event.RunEnded) {
+	attributes := run.reserve.Attributes
+	switch {
+	case ended.Crashed:
+		controller.crashCauses.Interrupted(now, message.Interruption{
+			Attempt: run.reserve.ID, Upstream: controller.settings.Name, SentAge: now - run.startedAt, Attributes: attributes,
+		})
+	case ended.Outcome == message.Complete:
+		controller.crashCauses.Survived(attributes, len(attributes)-event.OwnAttributes, run.startedAt)
+	}
+}
+
 // updateServiceTime updates the mean service time. For a class without a target for
 // the first token, it reports the total latency to the limit policy.
 func (controller *Controller) updateServiceTime(now time.Duration, run runRow) {
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -27,6 +27,10 @@
 	return prompt.Parts[:max(len(prompt.Parts)-1, 0)]
 }
 
+// OwnAttributes is the number of attributes that no other request shares: the last part of
+// the prompt and the fingerprint.
+const OwnAttributes = 2
+
 // CrashAttributes returns what the request may have in common with others that crash
 // upstreams: its prompt parts, from the most to the least shared, and its fingerprint.
 func (request Request) CrashAttributes() []uint64 {
--- a/internal/core/router/peers.go
+++ b/internal/core/router/peers.go
@@ -241,6 +241,7 @@
 	peer.boot = opened.Boot
 	peer.dialFailures = 0
 	router.peers.Put(opened.Peer, peer.WithState(peerUp).WithHeard(now))
+	router.crashCauses.Resend()
 	router.heartbeatDue = min(router.heartbeatDue, now)
 	for _, id := range router.boundTo(opened.Peer) {
 		row, _ := router.requests.Get(id)
@@ -306,6 +307,7 @@
 	for _, suspicion := range heartbeat.Suspicions {
 		router.suspects.Merge(now, suspicion)
 	}
+	router.crashCauses.Merge(now, heartbeat.Crashes, true)
 	router.emit(router.config.ObserveVersion(now, received.Peer, received.Link, heartbeat.ConfigVersion)...)
 	if peer.leaving && !before.leaving {
 		router.withdrawFrom(now, received.Peer)
@@ -334,6 +336,7 @@
 		return
 	}
 	router.heartbeatDue = now + router.settings.HeartbeatInterval
+	crashes := router.crashCauses.Take(now)
 	for _, name := range router.peers.Keys() {
 		peer, _ := router.peers.Get(name)
 		switch {
@@ -342,7 +345,7 @@
 			router.emit(event.CloseLink{Peer: name, Link: peer.link})
 			router.handleLinkClosed(now, event.LinkClosed{Peer: name, Link: peer.link})
 		case peer.state == peerUp:
-			heartbeat := message.Heartbeat{Uptime: now, Echo: peer.uptime, ConfigVersion: router.config.Version()}
+			heartbeat := message.Heartbeat{Uptime: now, Echo: peer.uptime, ConfigVersion: router.config.Version(), Crashes: crashes}
 			router.send(name, heartbeat)
 		}
 	}
--- a/internal/core/router/placement.go
+++ b/internal/core/router/placement.go
@@ -148,6 +148,7 @@
 		NonIdempotent: row.nonIdempotent(),
 		ResumeFrom:    row.resumeFrom,
 		Crashes:       crashes,
+		Attributes:    request.CrashAttributes(),
 	}
 	if request.Key != (message.Digest{}) {
 		reserve.Key = request.Key
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -152,6 +152,9 @@
 	if crashes >= suspects.CrashLimit {
 		return message.Suspect, remaining
 	}
+	if remaining, blamed := router.crashCauses.Cause(now, request.CrashAttributes()); blamed {
+		return message.Suspect, remaining
+	}
 	return message.NoReason, 0
 }
 
--- a/internal/core/router/responses.go
+++ b/internal/core/router/responses.go
@@ -102,8 +102,10 @@
 // instead if it may have crashed too many upstreams or if the retry budget is empty.
 func (router *Router) retry(now time.Duration, row requestRow, reason message.Reason) {
 	row.mayHaveRun = true
-	if crashes, remaining := router.suspects.Crashes(now, row.request.Fingerprint); crashes >= suspects.CrashLimit {
-		row.refusal.RetryAfter = remaining
+	crashes, remaining := router.suspects.Crashes(now, row.request.Fingerprint)
+	blamedFor, blamed := router.crashCauses.Cause(now, row.request.CrashAttributes())
+	if blamed || crashes >= suspects.CrashLimit {
+		row.refusal.RetryAfter = max(remaining, blamedFor)
 		router.finish(row, row.partialOutcome(), message.Suspect)
 		return
 	}
--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"endivepost/internal/config/distribution"
+	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/suspects"
 	"endivepost/internal/data/table"
@@ -37,8 +38,11 @@
 	requestDue *timerqueue.Queue[message.RequestID]
 	dialDue    *timerqueue.Queue[string]
 	suspects   *suspects.Table
-	config     *distribution.Distributor
-	retries    *retrybudget.Budget
+	// crashCauses finds what requests that crash upstreams have in common.
+	crashCauses    *crashcause.Finder
+	crashReviewDue time.Duration
+	config         *distribution.Distributor
+	retries        *retrybudget.Budget
 	// subsets holds the names of the chosen sidecars by class.
 	subsets map[string][]string
 	// unplaced are the requests that wait until a sidecar of their class connects or its
@@ -121,14 +125,15 @@
 // New returns a router without peers or configuration.
 func New(settings Settings) *Router {
 	return &Router{
-		settings:   settings,
-		peers:      table.New[string, peerRow](),
-		requests:   table.New[message.RequestID, requestRow](),
-		requestDue: timerqueue.New[message.RequestID](),
-		dialDue:    timerqueue.New[string](),
-		suspects:   suspects.New(maxSuspects),
-		config:     distribution.New(),
-		retries:    retrybudget.New(retryRatio, retryCapacity),
+		settings:    settings,
+		peers:       table.New[string, peerRow](),
+		requests:    table.New[message.RequestID, requestRow](),
+		requestDue:  timerqueue.New[message.RequestID](),
+		dialDue:     timerqueue.New[string](),
+		suspects:    suspects.New(maxSuspects),
+		crashCauses: crashcause.New(),
+		config:      distribution.New(),
+		retries:     retrybudget.New(retryRatio, retryCapacity),
 	}
 }
 
@@ -140,6 +145,7 @@
 	for _, input := range inputs {
 		router.handle(now, input)
 	}
+	router.reviewCrashCauses(now)
 	router.retryUnplaced(now)
 	router.expireRequests(now)
 	router.dial(now)
@@ -159,6 +165,9 @@
 	if due, ok := router.dialDue.Next(); ok {
 		next = min(next, due)
 	}
+	if router.crashCauses.Changed() {
+		next = min(next, router.crashReviewDue)
+	}
 	return next
 }
 
--- a/internal/node/caller/caller.go
+++ b/internal/node/caller/caller.go
@@ -54,8 +54,30 @@
 
 // chatRequest holds the fields of a chat completion request that the router reads.
 type chatRequest struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+// maxPromptParts bounds the messages that are told apart in a chat. The first ones are
+// those that other chats share.
+const maxPromptParts = 16
+
+// promptParts returns the messages of the chat as parts of its prompt. Equal messages have
+// the same ID. The lengths are not known. Messages that are no list are left to the upstream
+// to refuse, and have no parts.
+func (chat chatRequest) promptParts() []event.PromptPart {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(chat.Messages, &messages); err != nil {
+		return nil
+	}
+	var parts []event.PromptPart
+	for _, text := range messages[:min(len(messages), maxPromptParts)] {
+		sum := fnv.New64a()
+		_, _ = sum.Write(text)
+		parts = append(parts, event.PromptPart{ID: sum.Sum64()})
+	}
+	return parts
 }
 
 // Read resolves the account and class of a request and reads its body. The error is a
@@ -74,7 +96,7 @@
 	if strings.HasPrefix(request.URL.Path, ServicePrefix) {
 		resolved.Class, err = resolveService(request, published, account, &resolved.Payload)
 	} else {
-		resolved.Class, err = resolveChat(request, published, account, &resolved.Payload)
+		resolved.Class, err = resolveChat(request, published, account, &resolved)
 	}
 	if err != nil {
 		return event.Request{}, err
@@ -119,12 +141,13 @@
 	return resolveClass(request, published, account, serves, "service "+name)
 }
 
-func resolveChat(request *http.Request, published document.Document, account document.Account, payload *message.Payload) (document.Class, error) {
+func resolveChat(request *http.Request, published document.Document, account document.Account, resolved *event.Request) (document.Class, error) {
 	var chat chatRequest
-	if err := json.Unmarshal(payload.Body, &chat); err != nil {
+	if err := json.Unmarshal(resolved.Payload.Body, &chat); err != nil {
 		return document.Class{}, RefusalError{http.StatusBadRequest, "malformed-json", "the body is no chat completion request: " + err.Error()}
 	}
-	payload.Stream = chat.Stream
+	resolved.Payload.Stream = chat.Stream
+	resolved.Prompt.Parts = chat.promptParts()
 	serves := func(class document.Class) bool {
 		return class.Model != "" && (chat.Model == "" || chat.Model == class.Model)
 	}
--- a/internal/node/caller/caller_test.go
+++ b/internal/node/caller/caller_test.go
@@ -159,3 +159,26 @@
 		}
 	}
 }
+
+// TestMessagesAreParts guards against chats that crash upstreams by a message which they
+// share and are not found to have it in common.
+func TestMessagesAreParts(t *testing.T) {
+	parts := func(messages string) []event.PromptPart {
+		resolved, err := caller.Read(newRequest("/v1/chat/completions", `{"model": "chat", "messages": [`+messages+`]}`), published())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resolved.Prompt.Parts
+	}
+	const system = `{"role": "system", "content": "be brief"}`
+	first, second := parts(system+`, {"role": "user", "content": "a"}`), parts(system+`, {"role": "user", "content": "b"}`)
+	if len(first) != 2 || len(second) != 2 || first[0] != second[0] || first[1] == second[1] {
+		t.Errorf("got parts %v and %v, want two each of which the first ones are equal", first, second)
+	}
+	if resolved, err := caller.Read(newRequest("/v1/chat/completions", `{"model": "chat", "messages": "none"}`), published()); err != nil {
+		t.Errorf("messages that are no list: got error %v, want the request passed on, it is %v", err, resolved.ID)
+	}
+	if got := parts(strings.Repeat(system+", ", 100) + system); len(got) > 16 {
+		t.Errorf("got %d parts of a long chat, want at most 16", len(got))
+	}
+}
