Test that an entry back from a long cut sends no crashing requests on

An entry that was cut off for 16 s knows of no crash when it returns, and its peers dial it with growing delays.

--- a/internal/core/dispatch/prompt_part_crash_test.go
+++ b/internal/core/dispatch/prompt_part_crash_test.go
@@ -15,6 +15,9 @@
 	layout partLayout
 	// crashingRate is the rate of crashing requests per second.
 	crashingRate float64
+	// submitOnlyElsewhere gets no crashing requests while it is cut off, so that it knows of
+	// no crash when it returns; nil for none.
+	submitOnlyElsewhere *fleetEntry
 	// crashes are the times at which crashing requests began to write.
 	crashes []time.Duration
 	// lateArrivals counts the crashing requests that entries in touch sent to engines
@@ -131,12 +134,16 @@
 }
 
 func (load *crashLoad) submitCrashing() {
+	entry := load.anyEntry()
+	if entry == load.submitOnlyElsewhere && entry.cut {
+		return
+	}
 	first := load.random.Uint64N(firstParts)
 	parts := []uint64{first, crashingPart, load.ownPart()}
 	if load.layout == newFirstPart {
 		parts = []uint64{crashingPart, middlePartsID + first, load.ownPart()}
 	}
-	load.submit(load.anyEntry(), parts, true, nil)
+	load.submit(entry, parts, true, nil)
 }
 
 // retryCrashing sends a failed crashing request once more, as its caller would.
@@ -211,12 +218,19 @@
 	}
 }
 
-func (load *crashLoad) check(t *testing.T, seed uint64) {
+// checkStopped checks that crashing requests stopped soon after the fifth crash.
+func (load *crashLoad) checkStopped(t *testing.T, seed uint64) {
 	t.Helper()
 	if load.lateArrivals > maxLateArrivals {
 		t.Errorf("seed %d: %d crashing requests reached engines later than %s after the fifth crash, want at most %d; %d crashes in all",
 			seed, load.lateArrivals, contact, maxLateArrivals, len(load.crashes))
 	}
+}
+
+// check checks that, and that sound requests begin at least half as often as before.
+func (load *crashLoad) check(t *testing.T, seed uint64) {
+	t.Helper()
+	load.checkStopped(t, seed)
 	if len(load.crashes) < crashLimitByContract {
 		return
 	}
@@ -277,3 +291,17 @@
 		}
 	}
 }
+
+// TestEntryReturnsFromLongCut guards against an entry that, after a long cut from the other
+// entries, sends crashing requests on because it dials them again too late.
+func TestEntryReturnsFromLongCut(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		load := newCrashLoad(3, newMiddlePart, seed)
+		load.watchEngines()
+		load.at(crashesFrom-time.Second, func() { load.cutOff(load.entries[0], 16*time.Second) })
+		load.submitOnlyElsewhere = load.entries[0]
+		load.runUntil(t, crashesEnd+10*time.Second)
+		load.checkStopped(t, seed)
+	}
+}
