Reject requests in progress once a part of their prompts is blamed

Callers would have seen: a request that had arrived before its part was blamed went on to the next engine after a refused connection, and one that waited was rejected with a Retry-After of 0.2 s, only to be rejected again. Found in reading the change.

A request with a blamed attribute is now aborted wherever it would be placed, and each such rejection has the rest of the blame's time as Retry-After. TestBlamedRequestsInProgress failed in both of its cases before.

--- a/internal/core/dispatch/queue.go
+++ b/internal/core/dispatch/queue.go
@@ -166,11 +166,15 @@
 	dispatcher.responseTimes[row.request.Class.Name] = average + (now-row.sentAt-average)/responseTimeSmoothing
 }
 
-// retryAfter returns the Retry-After for a request that was not run: a short one if
-// this entry drains, since another entry can take the request at once; after an
-// overload the time until the requests now queued of its tier and of higher ones have been
-// sent, within maxRetryAfter; otherwise one to two times minRetryAfter.
+// retryAfter returns the Retry-After for a request that was not run: for one that would
+// crash upstreams, the time for which such requests are rejected; a short one if this entry
+// drains, since another entry can take the request at once; after an overload the time until
+// the requests now queued of its tier and of higher ones have been sent, within
+// maxRetryAfter; otherwise one to two times minRetryAfter.
 func (dispatcher *Dispatcher) retryAfter(now time.Duration, row requestRow, reason message.Reason) time.Duration {
+	if remaining, blamed := dispatcher.crashCauses.Cause(now, row.attributes); blamed {
+		return remaining
+	}
 	if dispatcher.draining {
 		return drainingRetryAfter
 	}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -162,12 +162,17 @@
 }
 
 // place sends the request to an upstream, enqueues it if that one has no capacity,
-// or has it wait if no upstream is usable.
+// or has it wait if no upstream is usable. It aborts a request that would crash the
+// upstream.
 func (dispatcher *Dispatcher) place(now time.Duration, row requestRow) {
 	if dispatcher.exitAt > 0 && row.attemptsSent == 0 && now >= dispatcher.latestStart(row) {
 		dispatcher.abort(now, row, message.Draining)
 		return
 	}
+	if _, blamed := dispatcher.crashCauses.Cause(now, row.attributes); blamed {
+		dispatcher.abort(now, row, message.Suspect)
+		return
+	}
 	chosen, ok := dispatcher.choose(now, row)
 	if !ok {
 		dispatcher.waitForUpstream(now, row)
--- a/internal/core/dispatch/suspicions_test.go
+++ b/internal/core/dispatch/suspicions_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,3 +84,57 @@
 	deliver(message.EntryHeartbeat{Cleared: []uint64{667}})
 	onlyOutput[event.Attempt](t, harness.submit(idempotentClass, 667))
 }
+
+// blame has a peer report three crashes in a row under requests with the part.
+func (harness *harness) blame(part uint64) []event.Output {
+	harness.t.Helper()
+	var reports message.CrashReports
+	for i := range uint64(3) {
+		age := 10*time.Second - time.Duration(i)*time.Second
+		reports.Interruptions = append(reports.Interruptions, message.Interruption{
+			Attempt: message.NewRequestID(99, i), Upstream: fmt.Sprintf("gone-%d", i), Age: age, SentAge: age + 100*time.Millisecond,
+			Attributes: []uint64{part, 1000 + i},
+		})
+	}
+	heartbeat := message.EntryHeartbeat{Crashes: reports}
+	return harness.step(event.LinkOpened{Peer: peer, Link: 1}, event.Received{Peer: peer, Link: 1, Message: heartbeat})
+}
+
+// submitPart submits a request with a prompt part that others share.
+func (harness *harness) submitPart(part uint64) []event.Output {
+	harness.sequence++
+	return harness.step(event.Submitted{Request: event.Request{
+		ID: message.NewRequestID(1, harness.sequence), Class: idempotentClass, Tier: 1, Fingerprint: harness.sequence, Timeout: 2 * time.Second,
+		Prompt: event.Prompt{Parts: []message.PromptPart{{ID: part}, {ID: 1<<40 + harness.sequence}}},
+	}})
+}
+
+// TestBlamedRequestsInProgress guards against requests with a blamed part that are sent on
+// because they arrived before the part was blamed, and against callers that come back at
+// once: a request that waits for an upstream, or whose connection was refused, is rejected
+// with the rest of the blame's time as Retry-After.
+func TestBlamedRequestsInProgress(t *testing.T) {
+	const part = 0xbad
+	cases := []struct {
+		name      string
+		upstreams int
+		// after returns the outputs of interest, after the request was submitted and its part
+		// was blamed.
+		after func(harness *harness, submitted, blamed []event.Output) []event.Output
+	}{
+		{"waiting for an upstream", 0, func(_ *harness, _, blamed []event.Output) []event.Output { return blamed }},
+		{"refused connection", 2, func(harness *harness, submitted, _ []event.Output) []event.Output {
+			return harness.end(onlyOutput[event.Attempt](harness.t, submitted), event.ConnectFailed)
+		}},
+	}
+	for _, row := range cases {
+		harness := newHarness(t, row.upstreams, ampleRetries)
+		submitted := harness.submitPart(part)
+		harness.now += 10 * time.Millisecond
+		blamed := harness.blame(part)
+		finish := onlyOutput[event.Finish](t, row.after(harness, submitted, blamed))
+		if finish.Outcome != message.NotRun || finish.Reason != message.Suspect || finish.RetryAfter < time.Minute {
+			t.Errorf("%s: got %+v, want outcome not-run, reason suspect and a Retry-After of minutes", row.name, finish)
+		}
+	}
+}
