Index interruptions without searching for them

While many responses are interrupted, each review of the crash causes searched the interruptions of an attribute for each of its own: with 2,048 under one part, some two million comparisons. An interruption is indexed once, when it comes, and anew after the index was cleared, so nothing has to be searched for. The tests pass unchanged.

--- a/internal/core/crashcause/finder.go
+++ b/internal/core/crashcause/finder.go
@@ -64,9 +64,9 @@
 	// SurvivalTime is how long after its begin a response shows that it does not crash
 	// its upstream.
 	SurvivalTime = time.Second
-	// BlameTime is how long requests with an attribute are rejected after its latest
+	// blameTime is how long requests with an attribute are rejected after its latest
 	// crash. The crashes count for memoryTime, so that one more crash later is enough.
-	BlameTime  = 5 * time.Minute
+	blameTime  = 5 * time.Minute
 	memoryTime = 30 * time.Minute
 	// minRemaining is the least time to its expiry for which a report is accepted: later
 	// ones could pass between processes that have already forgotten them.
@@ -144,14 +144,14 @@
 	return true
 }
 
-// index adds the interruption to the evidence against its attributes.
+// index adds an interruption that is not indexed yet to the evidence against its attributes.
 func (finder *Finder) index(attempt message.RequestID, row interruption) {
 	if row.refuted || row.upstream == "" {
 		return
 	}
 	finder.interrupted[row.upstream] = max(finder.interrupted[row.upstream], row.at)
 	for _, attribute := range row.attributes {
-		if !slices.Contains(row.cleared, attribute) && !slices.Contains(finder.evidence[attribute], attempt) {
+		if !slices.Contains(row.cleared, attribute) {
 			finder.evidence[attribute] = append(finder.evidence[attribute], attempt)
 		}
 	}
@@ -160,8 +160,8 @@
 // refute records that an attempt was interrupted though its upstream did not crash. It
 // returns false if that is known.
 func (finder *Finder) refute(now time.Duration, attempt message.RequestID) bool {
-	row, known := finder.row(now, attempt)
-	if known && row.refuted {
+	row := finder.row(now, attempt)
+	if row.refuted {
 		return false
 	}
 	row.refuted = true
@@ -171,13 +171,13 @@
 }
 
 // row returns the interruption, or a new one of which only the attempt is known.
-func (finder *Finder) row(now time.Duration, attempt message.RequestID) (interruption, bool) {
+func (finder *Finder) row(now time.Duration, attempt message.RequestID) interruption {
 	row, known := finder.interruptions.Get(attempt)
 	if !known {
 		finder.makeRoom()
 		row.at = now
 	}
-	return row, known
+	return row
 }
 
 // Alive refutes the interruptions that the upstream cannot have caused by crashing, since
@@ -229,8 +229,7 @@
 	}
 	finder.tellSurvival(report.Attribute)
 	for _, attempt := range report.Attempts {
-		row, _ := finder.row(now, attempt)
-		finder.interruptions.Put(attempt, row)
+		finder.interruptions.Put(attempt, finder.row(now, attempt))
 	}
 	finder.clear(report.Attribute, report.Attempts, forward)
 }
--- a/internal/core/crashcause/review.go
+++ b/internal/core/crashcause/review.go
@@ -89,7 +89,7 @@
 	}
 	for _, cause := range withoutRedundant(chosen) {
 		last := cause.crashes[len(cause.crashes)-1]
-		causes[cause.attribute] = crashes[last.crash].at + BlameTime
+		causes[cause.attribute] = crashes[last.crash].at + blameTime
 	}
 	return causes
 }
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -31,9 +31,8 @@
 )
 
 // hasCapacity returns whether the upstream may be sent the request now. Its rate limit, if
-// it named one, must leave a request. An engine must also have a free
-// batch slot and enough KV cache, and it has nothing to prefill or stays within
-// maxPrefillTokens. A request to a plain service, one that bypasses the queue and an
+// it named one, must leave a request. An engine must also have a free batch slot and enough
+// KV cache, and have nothing to prefill or stay within maxPrefillTokens. A request to a plain service, one that bypasses the queue and an
 // interrupted stream that the caller has received in part are sent in any case.
 func (dispatcher *Dispatcher) hasCapacity(now time.Duration, row requestRow, chosen choice) bool {
 	if !dispatcher.withinLimit(now, chosen.upstream.Name) {
