Test the messages about crashes and limits, and name the test's constants plainly

The round trip and the seeds of the fuzz test cover crash reports, limits and the attributes of a reservation. A heartbeat without reports must not grow.

--- a/internal/core/dispatch/prompt_part_crash_test.go
+++ b/internal/core/dispatch/prompt_part_crash_test.go
@@ -52,10 +52,10 @@
 	// From crashesFrom on, requests with the crashing part arrive.
 	crashesFrom = 10 * time.Second
 	crashesEnd  = 30 * time.Second
-	// crashLimitByContract is the number of crashes from which on such requests must stop.
-	crashLimitByContract = 5
-	maxLateArrivals      = 3
-	minCounted           = 20
+	// crashesUntilStop is the number of crashes from which on such requests must stop.
+	crashesUntilStop = 5
+	maxLateArrivals  = 3
+	minCounted       = 20
 
 	firstParts    = 5
 	middleParts   = 40
@@ -130,7 +130,7 @@
 
 // blockingDue returns whether the given time has passed since the fifth crash.
 func (load *crashLoad) blockingDue(grace time.Duration) bool {
-	return len(load.crashes) >= crashLimitByContract && load.now > load.crashes[crashLimitByContract-1]+grace
+	return len(load.crashes) >= crashesUntilStop && load.now > load.crashes[crashesUntilStop-1]+grace
 }
 
 func (load *crashLoad) submitCrashing() {
@@ -227,11 +227,11 @@
 	}
 }
 
-// check checks that, and that sound requests begin at least half as often as before.
+// check checks the same, and that sound requests begin at least half as often as before.
 func (load *crashLoad) check(t *testing.T, seed uint64) {
 	t.Helper()
 	load.checkStopped(t, seed)
-	if len(load.crashes) < crashLimitByContract {
+	if len(load.crashes) < crashesUntilStop {
 		return
 	}
 	if load.before.sent < minCounted || load.afterwards.sent < minCounted {
--- a/internal/wire/message/message_test.go
+++ b/internal/wire/message/message_test.go
@@ -14,11 +14,18 @@
 func samples() []message.Message {
 	id := message.NewRequestID(7, 9).WithAttempt(2)
 	payload := message.Payload{Method: "POST", Path: "/v1", Header: []message.Header{{Name: "A", Value: "b"}}, Body: []byte("x"), Stream: true}
+	crashes := message.CrashReports{
+		Interruptions: []message.Interruption{{Attempt: id, Upstream: "u", Age: time.Second, SentAge: 2, Attributes: []uint64{1, 2}}},
+		Refuted:       []message.RequestID{id}, Survivals: []message.Survival{{Attribute: 1, Attempts: []message.RequestID{id}}},
+	}
 	return []message.Message{
+		message.EntryHeartbeat{ConfigVersion: 3, Crashes: crashes, Limits: []message.UpstreamLimit{
+			{Upstream: "u", Limited: true, PerSecond: 1.2, Age: 3, Held: 4},
+		}},
 		message.Heartbeat{Uptime: time.Second, Echo: 2, ConfigVersion: 3, Load: message.Load{Limit: 4, Running: 5, Queued: 6, Wait: 7},
-			Leaving: true, Suspicions: []message.Suspicion{{Fingerprint: 1, Crashes: 2, Remaining: 3}}},
+			Leaving: true, Suspicions: []message.Suspicion{{Fingerprint: 1, Crashes: 2, Remaining: 3}}, Crashes: crashes},
 		message.Reserve{ID: id, Class: "c", Account: "a", Tier: 1, Timeout: time.Second, NonIdempotent: true, Key: message.Digest{1},
-			KeyCreatedAt: time.UnixMicro(1_800_000_000_000_000).UTC(), Payload: &payload},
+			KeyCreatedAt: time.UnixMicro(1_800_000_000_000_000).UTC(), Payload: &payload, Attributes: []uint64{1, 2}},
 		message.Claim{ID: id}, message.Grant{ID: id, Payload: payload}, message.Withdraw{ID: id},
 		message.Refused{ID: id, Reason: message.QueueFull, RetryAfter: time.Second},
 		message.Chunk{ID: id, Index: 3, Data: []byte("data"), Status: 200}, message.End{ID: id, Chunks: 4, Outcome: message.Complete},
@@ -26,6 +33,14 @@
 	}
 }
 
+// TestNothingIsSentWithoutReports guards against heartbeats that grow while nothing crashes.
+func TestNothingIsSentWithoutReports(t *testing.T) {
+	data, err := message.Encode(message.EntryHeartbeat{ConfigVersion: 3})
+	if want := "\x82\x0c\xa1\x01\x03"; err != nil || string(data) != want {
+		t.Errorf("got %x with error %v, want %x", data, err, want)
+	}
+}
+
 func TestEncodeDecodeRoundTrip(t *testing.T) {
 	for _, sample := range samples() {
 		data, err := message.Encode(sample)
