Restore the seeds and the length of the tests with fleets, and show that a returned entry dials late

Both are restored; the seeds run at the same time instead.

With the full length TestEntryReturnsFromLongCut fails: its traffic had ended before the entry counted. After a cut of 16 s an entry had no link to another one for 5 s, knew of no crash, and sent 4 requests with a crashing part to engines; 3 are allowed.

--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -38,6 +38,8 @@
 	stateChanged func(entry *fleetEntry, change event.StateChanged)
 	finished     func(run *fleetRun, finish event.Finish)
 	sequence     uint64
+	// refusesDials is true if connections to an entry that is cut off are refused at once.
+	refusesDials bool
 }
 
 // fleetEntry is one entry. Generation counts its starts; inputs for an earlier one are lost.
@@ -89,6 +91,10 @@
 
 const (
 	fleetDelay = time.Millisecond
+	// dialRepeat is when TCP repeats the first packet of a connection, and dialTimeout when
+	// the attempt to open a link fails.
+	dialRepeat  = time.Second
+	dialTimeout = 3 * time.Second
 	// engineRestart is how long a crashed engine is down.
 	engineRestart = 3 * time.Second
 	// crashDelay is the time from the begin of the response to the crash.
@@ -176,12 +182,18 @@
 	}
 }
 
-// fleetSeeds returns the number of seeds to run: large fleets take long.
-func fleetSeeds(entries int) uint64 {
-	if entries > 10 {
-		return 1
+// fleetSeeds is the number of seeds of most tests with a fleet.
+const fleetSeeds = 4
+
+// forEachFleetSeed runs the test with some seeds at the same time.
+func forEachFleetSeed(t *testing.T, seeds uint64, test func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			test(t, seed)
+		})
 	}
-	return 4
 }
 
 // inTouch returns whether the entry has been undisturbed for the given time.
@@ -268,26 +280,45 @@
 	}
 }
 
-// dial opens a link, unless one of the two entries is cut off.
+// dial opens a link. Between entries that are cut off from each other the attempt is
+// repeated after dialRepeat, as TCP does, and fails after dialTimeout, or else at once.
 func (fleet *fleet) dial(entry *fleetEntry, dial event.Dial) {
-	var peer int
-	_, _ = fmt.Sscanf(strings.TrimPrefix(dial.Address, "entry-"), "%d", &peer)
-	remote := fleet.entries[peer]
 	generation := entry.generation
-	fleet.after(fleetDelay, func() {
-		if entry.cut || remote.cut || entry.generation != generation {
+	started := fleet.now
+	var attempt func()
+	attempt = func() {
+		switch passed := fleet.now - started; {
+		case entry.generation != generation:
+		case !entry.cut && !fleet.dialled(dial).cut:
+			fleet.openLink(entry, dial)
+		case fleet.refusesDials:
 			fleet.deliver(entry, generation, event.LinkClosed{Peer: dial.Peer, Link: dial.Link})
-			return
+		case passed < dialRepeat:
+			fleet.after(dialRepeat-passed, attempt)
+		default:
+			fleet.after(dialTimeout-passed, func() { fleet.deliver(entry, generation, event.LinkClosed{Peer: dial.Peer, Link: dial.Link}) })
 		}
-		fleet.sequence++
-		near := &fleetLink{key: dial.Peer, number: dial.Link, peer: peer, generation: generation}
-		far := &fleetLink{key: mesh.AcceptedKey(address(entry.number)), number: fleet.sequence, peer: entry.number, generation: remote.generation, remote: near}
-		near.remote = far
-		entry.links[near.key] = near
-		remote.links[far.key] = far
-		fleet.deliver(entry, near.generation, event.LinkOpened{Peer: near.key, Link: near.number})
-		fleet.deliver(remote, far.generation, event.LinkOpened{Peer: far.key, Link: far.number})
-	})
+	}
+	fleet.after(fleetDelay, attempt)
+}
+
+// dialled is the entry at the address.
+func (fleet *fleet) dialled(dial event.Dial) *fleetEntry {
+	var number int
+	_, _ = fmt.Sscanf(strings.TrimPrefix(dial.Address, "entry-"), "%d", &number)
+	return fleet.entries[number]
+}
+
+func (fleet *fleet) openLink(entry *fleetEntry, dial event.Dial) {
+	remote := fleet.dialled(dial)
+	fleet.sequence++
+	near := &fleetLink{key: dial.Peer, number: dial.Link, peer: remote.number, generation: entry.generation}
+	far := &fleetLink{key: mesh.AcceptedKey(address(entry.number)), number: fleet.sequence, peer: entry.number, generation: remote.generation, remote: near}
+	near.remote = far
+	entry.links[near.key] = near
+	remote.links[far.key] = far
+	fleet.deliver(entry, near.generation, event.LinkOpened{Peer: near.key, Link: near.number})
+	fleet.deliver(remote, far.generation, event.LinkOpened{Peer: far.key, Link: far.number})
 }
 
 // closeLink closes both ends of a link.
--- a/internal/core/dispatch/prompt_part_crash_test.go
+++ b/internal/core/dispatch/prompt_part_crash_test.go
@@ -50,8 +50,8 @@
 const (
 	contact = 3 * time.Second
 	// From crashesFrom on, requests with the crashing part arrive.
-	crashesFrom = 10 * time.Second
-	crashesEnd  = 30 * time.Second
+	crashesFrom = 15 * time.Second
+	crashesEnd  = 45 * time.Second
 	// crashesUntilStop is the number of crashes from which on such requests must stop.
 	crashesUntilStop = 5
 	maxLateArrivals  = 3
@@ -203,15 +203,15 @@
 				name := fmt.Sprintf("%d entries, layout %d, disrupted %t", entries, layout, disrupted)
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
-					for seed := range fleetSeeds(entries) {
+					forEachFleetSeed(t, fleetSeeds, func(t *testing.T, seed uint64) {
 						load := newCrashLoad(entries, layout, seed)
 						load.watchEngines()
 						if disrupted {
 							load.disrupt()
 						}
 						load.runUntil(t, crashesEnd+10*time.Second)
-						load.check(t, seed)
-					}
+						load.check(t)
+					})
 				})
 			}
 		}
@@ -219,26 +219,26 @@
 }
 
 // checkStopped checks that crashing requests stopped soon after the fifth crash.
-func (load *crashLoad) checkStopped(t *testing.T, seed uint64) {
+func (load *crashLoad) checkStopped(t *testing.T) {
 	t.Helper()
 	if load.lateArrivals > maxLateArrivals {
-		t.Errorf("seed %d: %d crashing requests reached engines later than %s after the fifth crash, want at most %d; %d crashes in all",
-			seed, load.lateArrivals, contact, maxLateArrivals, len(load.crashes))
+		t.Errorf("%d crashing requests reached engines later than %s after the fifth crash, want at most %d; %d crashes in all",
+			load.lateArrivals, contact, maxLateArrivals, len(load.crashes))
 	}
 }
 
 // check checks the same, and that sound requests begin at least half as often as before.
-func (load *crashLoad) check(t *testing.T, seed uint64) {
+func (load *crashLoad) check(t *testing.T) {
 	t.Helper()
-	load.checkStopped(t, seed)
+	load.checkStopped(t)
 	if len(load.crashes) < crashesUntilStop {
 		return
 	}
 	if load.before.sent < minCounted || load.afterwards.sent < minCounted {
-		t.Fatalf("seed %d: got %+v sound requests before and %+v after, want at least %d each", seed, load.before, load.afterwards, minCounted)
+		t.Fatalf("got %+v sound requests before and %+v after, want at least %d each", load.before, load.afterwards, minCounted)
 	}
 	if 2*load.afterwards.began*load.before.sent < load.before.began*load.afterwards.sent {
-		t.Errorf("seed %d: sound requests began at the first attempt: %+v before, %+v after; want at least half as often", seed, load.before, load.afterwards)
+		t.Errorf("sound requests began at the first attempt: %+v before, %+v after; want at least half as often", load.before, load.afterwards)
 	}
 }
 
@@ -259,7 +259,7 @@
 		for _, row := range cases {
 			t.Run(fmt.Sprintf("%s, %d entries", row.name, entries), func(t *testing.T) {
 				t.Parallel()
-				for seed := range fleetSeeds(entries) {
+				forEachFleetSeed(t, fleetSeeds, func(t *testing.T, seed uint64) {
 					load := newCrashLoad(entries, newMiddlePart, seed)
 					load.crashingRate = 0
 					load.at(crashesFrom, func() {
@@ -274,9 +274,9 @@
 					}
 					load.runUntil(t, crashesEnd+10*time.Second)
 					if limit := 5 + all/500; rejected > limit {
-						t.Errorf("seed %d: %d of %d sound requests were rejected as suspects, want at most %d", seed, rejected, all, limit)
+						t.Errorf("%d of %d sound requests were rejected as suspects, want at most %d", rejected, all, limit)
 					}
-				}
+				})
 			})
 		}
 	}
@@ -296,12 +296,26 @@
 // entries, sends crashing requests on because it dials them again too late.
 func TestEntryReturnsFromLongCut(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(8) {
-		load := newCrashLoad(3, newMiddlePart, seed)
-		load.watchEngines()
-		load.at(crashesFrom-time.Second, func() { load.cutOff(load.entries[0], 16*time.Second) })
-		load.submitOnlyElsewhere = load.entries[0]
-		load.runUntil(t, crashesEnd+10*time.Second)
-		load.checkStopped(t, seed)
+	cases := []struct {
+		name         string
+		refusesDials bool
+		firstSeed    uint64
+	}{
+		{"connections refused", true, 0},
+		{"packets lost", false, 130},
+	}
+	for _, row := range cases {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			forEachFleetSeed(t, 10*fleetSeeds, func(t *testing.T, seed uint64) {
+				load := newCrashLoad(3, newMiddlePart, row.firstSeed+seed)
+				load.refusesDials = row.refusesDials
+				load.watchEngines()
+				load.at(crashesFrom-time.Second, func() { load.cutOff(load.entries[0], 16*time.Second) })
+				load.submitOnlyElsewhere = load.entries[0]
+				load.runUntil(t, crashesEnd+10*time.Second)
+				load.checkStopped(t)
+			})
+		})
 	}
 }
--- a/internal/core/dispatch/upstream_limit_test.go
+++ b/internal/core/dispatch/upstream_limit_test.go
@@ -133,7 +133,7 @@
 	return float64(arrived) / allowed
 }
 
-func (load *limitLoad) check(t *testing.T, seed uint64) {
+func (load *limitLoad) check(t *testing.T) {
 	t.Helper()
 	for _, engine := range load.engines {
 		if engine.limitPerSecond == 0 {
@@ -141,21 +141,21 @@
 		}
 		limit := int(limitFactor*limitWindow.Seconds()*engine.limitPerSecond) + limitSlack
 		if most := mostInWindow(load.arrivals[engine.name]); most > limit {
-			t.Errorf("seed %d: %s, which named a limit of %g per second, got %d requests in %s, want at most %d",
-				seed, engine.name, engine.limitPerSecond, most, limitWindow, limit)
+			t.Errorf("%s, which named a limit of %g per second, got %d requests in %s, want at most %d",
+				engine.name, engine.limitPerSecond, most, limitWindow, limit)
 		}
 	}
 }
 
 // checkServed checks that callers get at least half of what the limits allow if all engines
 // are limited, and everything once the limits have ended.
-func (load *limitLoad) checkServed(t *testing.T, seed uint64, limits []float64) {
+func (load *limitLoad) checkServed(t *testing.T, limits []float64) {
 	t.Helper()
 	if served := load.served(); !slices.Contains(limits, 0) && served < 0.5 {
-		t.Errorf("seed %d: engines were sent %.2f of what their limits allow, want at least half", seed, served)
+		t.Errorf("engines were sent %.2f of what their limits allow, want at least half", served)
 	}
 	if load.failed > 0 {
-		t.Errorf("seed %d: %d requests failed after the limits had ended, want none", seed, load.failed)
+		t.Errorf("%d requests failed after the limits had ended, want none", load.failed)
 	}
 }
 
@@ -189,17 +189,17 @@
 			for _, disrupted := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %d entries, disrupted %t", row.name, entries, disrupted), func(t *testing.T) {
 					t.Parallel()
-					for seed := range fleetSeeds(entries) {
+					forEachFleetSeed(t, fleetSeeds, func(t *testing.T, seed uint64) {
 						load := newLimitLoad(entries, row.rate, row.limits, seed)
 						if disrupted {
 							load.after(limitsFrom, func() { load.disrupt(0) })
 						}
 						load.runUntil(t, limitsEnd+10*time.Second)
-						load.check(t, seed)
+						load.check(t)
 						if !disrupted {
-							load.checkServed(t, seed, row.limits)
+							load.checkServed(t, row.limits)
 						}
-					}
+					})
 				})
 			}
 		}
