Add a failing test of entries that forget each other during a cut

A peer is dropped after five failures if it was discovered more than 30 s ago, however lately it was connected, and entries that drop each other do not learn of each other again: only connected entries are listed. TestLongCutHeals fails after cuts of 20 s and of 5 min. TestUnreachablePeerDoesNotCount, which the fix must keep, passes.

--- a/internal/core/mesh/mesh_test.go
+++ b/internal/core/mesh/mesh_test.go
@@ -64,3 +64,56 @@
 		}
 	}
 }
+
+// dialAll dials what is due, and opens the links if reachable is true.
+func dialAll(subject *mesh.Mesh, now time.Duration, reachable bool) (opened int) {
+	for _, output := range subject.Dial(now) {
+		dial, ok := output.(event.Dial)
+		switch {
+		case !ok:
+		case reachable:
+			opened++
+			subject.HandleOpened(now, event.LinkOpened{Peer: dial.Peer, Link: dial.Link})
+		default:
+			subject.HandleClosed(now, event.LinkClosed{Peer: dial.Peer, Link: dial.Link})
+		}
+	}
+	return opened
+}
+
+// TestLongCutHeals guards against an entry that forgets the others while it is cut off from
+// them, and they it, so that they never connect again.
+func TestLongCutHeals(t *testing.T) {
+	t.Parallel()
+	const connected, step = 40 * time.Second, 100 * time.Millisecond
+	for _, cut := range []time.Duration{5 * time.Second, 20 * time.Second, 5 * time.Minute} {
+		subject := newMesh("self", 4)
+		subject.AddPeer(0, "a")
+		dialAll(subject, 0, true)
+		subject.HandleClosed(connected, event.LinkClosed{Peer: "dial:a", Link: 1})
+		healed := connected + cut
+		for now := connected; now < healed; now += step {
+			dialAll(subject, now, false)
+		}
+		opened := 0
+		for now := healed; now < healed+10*time.Second; now += step {
+			opened += dialAll(subject, now, true)
+		}
+		if opened == 0 {
+			t.Errorf("no link within 10 s after a cut of %s, want one", cut)
+		}
+	}
+}
+
+// TestUnreachablePeerDoesNotCount guards against sharing limits with entries that are gone.
+func TestUnreachablePeerDoesNotCount(t *testing.T) {
+	t.Parallel()
+	subject := newMesh("self", 4)
+	subject.AddPeer(0, "a")
+	for now := time.Duration(0); now < 2*time.Minute; now += 100 * time.Millisecond {
+		dialAll(subject, now, false)
+	}
+	if known := subject.KnownCount(); known != 1 {
+		t.Errorf("got %d known entries, want only this one", known)
+	}
+}
