Compare revisions of the upstream list by the era of the store

Callers' requests went on to a draining upstream, and to a removed one, for good: after the store had come back from a copy, a row had a higher revision from before than the drain or the removal, which was taken for an old message. An upstream that the copy lacked was never removed, and one that was listed again after a departure of the earlier era never used.

A revision is a number of one era of the store. Rows, removals, lists, and the departures that entries tell each other now carry the era, and are ordered by era first. A restored list is of the past, though, so it does not overrule what is known of the same process from before. An upstream that was leaving or gone stays so until the store has listed it for three heartbeats, which is when it would have removed one that is gone, and a watch has returned after that, or until the upstream writes again. One that the copy lacks has the time to register again that it has after an outage. A departure names the start time of its process, so that one of an earlier process, listed by a copy, does not take out the present one.

The versions of documents are the operator's and go on rising; they stay as they were.

The fleets of the tests kept the end of a pause across a restart, and a shorter disruption ended a longer one: both are mended.

--- a/internal/command/verbs/platform_entry.go
+++ b/internal/command/verbs/platform_entry.go
@@ -78,6 +78,7 @@
 		Dialect:        platform.Dialect{},
 		Retries:        retrywindow.Settings{Ratio: read.RetryRatio, Slack: read.RetrySlack, Span: read.RetryWindow},
 		Grace:          read.Grace,
+		ListExpiry:     read.ListExpiry,
 		DroppedLines:   lines.Dropped,
 		WatchStore: func(watchCtx context.Context, post func(event.Input)) {
 			platform.NewWatcher(read.StoreAddress, observe.Log, post).Run(watchCtx)
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -111,6 +111,8 @@
 	HeartbeatInterval time.Duration
 	// UpstreamWait is how long a request waits for a usable upstream.
 	UpstreamWait time.Duration
+	// ListExpiry is how long an upstream that is gone stays in the published list.
+	ListExpiry time.Duration
 }
 
 const (
@@ -152,7 +154,7 @@
 	return &Dispatcher{
 		settings:      settings,
 		config:        distribution.New(),
-		membership:    membership.New(),
+		membership:    membership.New(settings.ListExpiry),
 		mesh:          mesh.New(settings.Mesh),
 		upstreams:     table.New[string, upstreamRow](),
 		requests:      table.New[message.RequestID, requestRow](),
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 	"endivepost/internal/core/dispatch"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/mesh"
+	"endivepost/internal/data/revision"
 	"endivepost/internal/policy/retrywindow"
 	"endivepost/internal/policy/tiered"
 	"endivepost/internal/wire/message"
@@ -56,7 +57,7 @@
 		name := fmt.Sprintf("u-%d", i)
 		listed = append(listed, event.Upstream{Name: name, Pool: "pool", Address: name, Domain: "a", Revision: 1})
 	}
-	created.step(event.DocumentRead{Raw: raw}, event.UpstreamListRead{Upstreams: listed, Revision: 1})
+	created.step(event.DocumentRead{Raw: raw}, event.UpstreamListRead{Upstreams: listed, Revision: revision.New(0, 1)})
 	return created
 }
 
@@ -568,7 +569,7 @@
 		name := fmt.Sprintf("u-%d", generation)
 		harness.step(event.UpstreamUpdated{Upstream: event.Upstream{Name: name, Pool: "pool", Address: name, Revision: 2*generation + 2}})
 		harness.end(onlyOutput[event.Attempt](t, harness.submit(idempotentClass, generation)), event.Completed)
-		harness.step(event.UpstreamRemoved{Name: name, Revision: 2*generation + 3})
+		harness.step(event.UpstreamRemoved{Name: name, Revision: revision.New(0, 2*generation+3)})
 		harness.now += time.Minute
 		harness.step()
 	}
--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -15,6 +15,7 @@
 	"endivepost/internal/core/dispatch"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/mesh"
+	"endivepost/internal/data/revision"
 	"endivepost/internal/data/table"
 	"endivepost/internal/policy/retrywindow"
 	"endivepost/internal/policy/tiered"
@@ -37,7 +38,9 @@
 	crashedAt    func(run *fleetRun)
 	stateChanged func(entry *fleetEntry, change event.StateChanged)
 	finished     func(run *fleetRun, finish event.Finish)
-	sequence     uint64
+	// published returns what an entry reads as it starts.
+	published func(entry *fleetEntry) []event.Input
+	sequence  uint64
 	// refusesDials is true if connections to an entry that is cut off are refused at once.
 	refusesDials bool
 }
@@ -95,6 +98,8 @@
 	// the attempt to open a link fails.
 	dialRepeat  = time.Second
 	dialTimeout = 3 * time.Second
+	// listExpiry is how long an engine that is gone stays in the published list.
+	listExpiry = 3600 * time.Millisecond
 	// engineRestart is how long a crashed engine is down.
 	engineRestart = 3 * time.Second
 	// crashDelay is the time from the begin of the response to the crash.
@@ -118,6 +123,7 @@
 	for i := range entries {
 		created.entries = append(created.entries, &fleetEntry{number: i})
 	}
+	created.published = created.publishedAtStart
 	for _, entry := range created.entries {
 		created.start(entry)
 	}
@@ -132,6 +138,7 @@
 	entry.generation++
 	entry.startedAt = fleet.now
 	entry.disruptedAt = fleet.now
+	entry.pausedUntil = 0
 	entry.links = make(map[string]*fleetLink)
 	random := rand.New(rand.NewPCG(uint64(entry.number), entry.generation))
 	entry.dispatcher = dispatch.New(dispatch.Settings{
@@ -140,14 +147,9 @@
 		Mesh: mesh.Settings{
 			Self: address(entry.number), Fanout: 8, HeartbeatTimeout: 2500 * time.Millisecond, RedialDelay: 300 * time.Millisecond, Random: random,
 		},
-		Retries: retrywindow.Settings{Ratio: 0.2, Slack: 50, Span: 10 * time.Second},
+		Retries: retrywindow.Settings{Ratio: 0.2, Slack: 50, Span: 10 * time.Second}, ListExpiry: listExpiry,
 	})
-	raw, _ := json.Marshal(document.Document{Version: 1, SelfRegistration: true, Classes: []document.Class{fleetClass}, Pools: []document.Pool{{Name: "pool"}}})
-	var listed []event.Upstream
-	for _, engine := range fleet.engines {
-		listed = append(listed, event.Upstream{Name: engine.name, Pool: "pool", Address: engine.name, Domain: "a", Revision: 1})
-	}
-	inputs := []event.Input{event.DocumentRead{Raw: raw}, event.UpstreamListRead{Upstreams: listed, Revision: 1}}
+	inputs := fleet.published(entry)
 	for _, other := range fleet.entries {
 		inputs = append(inputs, event.PeerDiscovered{Address: address(other.number)})
 	}
@@ -156,16 +158,33 @@
 	}
 }
 
+// publishedAtStart returns the document and the list of all engines.
+func (fleet *fleet) publishedAtStart(*fleetEntry) []event.Input {
+	var listed []event.Upstream
+	for _, engine := range fleet.engines {
+		listed = append(listed, event.Upstream{Name: engine.name, Pool: "pool", Address: engine.name, Domain: "a", Revision: 1})
+	}
+	return []event.Input{event.DocumentRead{Raw: fleetDocument(1)}, event.UpstreamListRead{Upstreams: listed, Revision: revision.New(0, 1)}}
+}
+
+// fleetDocument returns the class document of the version, as JSON.
+func fleetDocument(version uint64) []byte {
+	raw, _ := json.Marshal(document.Document{
+		Version: version, SelfRegistration: true, Classes: []document.Class{fleetClass}, Pools: []document.Pool{{Name: "pool"}},
+	})
+	return raw
+}
+
 // pause stops the entry for a time. Its inputs wait.
 func (fleet *fleet) pause(entry *fleetEntry, duration time.Duration) {
 	entry.pausedUntil = fleet.now + duration
-	entry.disruptedAt = entry.pausedUntil
+	entry.disruptedAt = max(entry.disruptedAt, entry.pausedUntil)
 }
 
 // cutOff cuts the entry off from all other entries for a time. Messages are lost.
 func (fleet *fleet) cutOff(entry *fleetEntry, duration time.Duration) {
 	entry.cut = true
-	entry.disruptedAt = fleet.now + duration
+	entry.disruptedAt = max(entry.disruptedAt, fleet.now+duration)
 	fleet.after(duration, func() { entry.cut = false })
 }
 
@@ -196,9 +215,9 @@
 	}
 }
 
-// inTouch returns whether the entry has been undisturbed for the given time.
-func (fleet *fleet) inTouch(entry *fleetEntry, calm time.Duration) bool {
-	return fleet.now-entry.disruptedAt >= calm
+// inTouch returns whether the entry has been undisturbed for contact.
+func (fleet *fleet) inTouch(entry *fleetEntry) bool {
+	return fleet.now-entry.disruptedAt >= contact
 }
 
 // submit sends a request to the entry.
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -43,6 +43,8 @@
 		for _, name := range dispatcher.membership.Replace(now, input.Upstreams, input.Revision) {
 			dispatcher.reportUpstreamChange(now, name, event.FullList, true)
 		}
+	case event.UpstreamListConfirmed:
+		dispatcher.adoptListed(now)
 	case event.CacheReported:
 		dispatcher.handleCacheReport(now, input)
 	case event.StoreUnreachable:
@@ -86,10 +88,18 @@
 		dispatcher.outliers.Forget(name)
 		dispatcher.forgetCache(name)
 	}
-	dispatcher.emit(event.StateChanged{State: state, Source: source, Name: name, Version: upstream.Revision})
+	dispatcher.emit(event.StateChanged{State: state, Source: source, Name: name, Version: upstream.Revision, Era: upstream.Era})
 	dispatcher.heartbeatDue = min(dispatcher.heartbeatDue, now)
 }
 
+// adoptListed uses the upstreams that a restored list contains although they were known to
+// have left, once it is certain that they run.
+func (dispatcher *Dispatcher) adoptListed(now time.Duration) {
+	for _, name := range dispatcher.membership.AdoptListed(now) {
+		dispatcher.reportUpstreamChange(now, name, event.FullList, true)
+	}
+}
+
 // emitConfig emits the outputs of the configuration distribution. After a new
 // document was accepted, a heartbeat with its version is sent at once.
 func (dispatcher *Dispatcher) emitConfig(now time.Duration, outputs []event.Output) {
--- a/internal/core/dispatch/placements.go
+++ b/internal/core/dispatch/placements.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivepost/internal/core/event"
+	"endivepost/internal/data/revision"
 	"endivepost/internal/policy/rendezvous"
 	"endivepost/internal/wire/message"
 )
@@ -127,7 +128,8 @@
 func (dispatcher *Dispatcher) forgetIfRestarted(upstreams ...event.Upstream) {
 	for _, upstream := range upstreams {
 		current, known := dispatcher.membership.Find(upstream.Name)
-		if known && upstream.Revision > current.Revision && upstream.Started != current.Started {
+		later := revision.New(upstream.Era, upstream.Revision).After(revision.New(current.Era, current.Revision))
+		if known && later && upstream.Started != current.Started {
 			dispatcher.forgetCache(upstream.Name)
 		}
 	}
--- a/internal/core/dispatch/placements_test.go
+++ b/internal/core/dispatch/placements_test.go
@@ -11,6 +11,7 @@
 	"endivepost/internal/core/dispatch"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/mesh"
+	"endivepost/internal/data/revision"
 	"endivepost/internal/policy/tiered"
 	"endivepost/internal/wire/message"
 )
@@ -118,7 +119,7 @@
 func TestReturnedUpstreamHasEmptyCache(t *testing.T) {
 	harness := newHarness(t, 1, ampleRetries)
 	harness.end(onlyOutput[event.Attempt](t, harness.step(harness.longPrefixRequest(1))), event.Completed)
-	harness.step(event.UpstreamRemoved{Name: "u-0", Revision: 5})
+	harness.step(event.UpstreamRemoved{Name: "u-0", Revision: revision.New(0, 5)})
 	harness.step(event.UpstreamUpdated{Upstream: event.Upstream{Name: "u-0", Pool: "pool", Address: "u-0", Domain: "a", Revision: 6}})
 	if got := onlyOutput[event.Attempt](t, harness.step(harness.longPrefixRequest(1))); got.Load.UncachedTokens < 15_000 {
 		t.Errorf("got %d uncached tokens, want at least 15000 of 16000", got.Load.UncachedTokens)
@@ -215,7 +216,9 @@
 		t.Errorf("sent %d pulls before the upstream list was known, want 0", len(early))
 	}
 	harness.now += 50 * time.Millisecond
-	list := event.UpstreamListRead{Upstreams: []event.Upstream{{Name: "u-0", Pool: "pool", Address: "u-0", Domain: "a", Revision: 1}}, Revision: 1}
+	list := event.UpstreamListRead{
+		Upstreams: []event.Upstream{{Name: "u-0", Pool: "pool", Address: "u-0", Domain: "a", Revision: 1}}, Revision: revision.New(0, 1),
+	}
 	if pulls := sentMessages[message.PlacementsPull](harness.step(list)); len(pulls) != 1 {
 		t.Errorf("sent %d pulls once the upstream list was known, want 1", len(pulls))
 	}
@@ -307,7 +310,7 @@
 // their upstream has left: if it returns under its name, its cache is empty.
 func TestPlacementsOfRemovedUpstreams(t *testing.T) {
 	harness := newHarness(t, 1, ampleRetries)
-	harness.step(event.LinkOpened{Peer: peer, Link: 1}, event.UpstreamRemoved{Name: "u-0", Revision: 5})
+	harness.step(event.LinkOpened{Peer: peer, Link: 1}, event.UpstreamRemoved{Name: "u-0", Revision: revision.New(0, 5)})
 	late := message.Placements{Placements: []message.Placement{{Upstream: "u-0", Parts: []message.PromptPart{{ID: 1, Tokens: 13_000}}}}}
 	harness.step(event.Received{Peer: peer, Link: 1, Message: late})
 	harness.step(event.UpstreamUpdated{Upstream: event.Upstream{Name: "u-0", Pool: "pool", Address: "u-0", Domain: "a", Revision: 6}})
--- a/internal/core/dispatch/prompt_part_crash_test.go
+++ b/internal/core/dispatch/prompt_part_crash_test.go
@@ -116,7 +116,7 @@
 	}
 	request := soundRequest{}
 	switch {
-	case !load.inTouch(entry, contact):
+	case !load.inTouch(entry):
 	case load.now > contact && load.now < crashesFrom-2*time.Second:
 		request.counted = &load.before
 	case load.blockingDue(2 * contact):
@@ -170,7 +170,7 @@
 // watchEngines counts crashes and late arrivals of crashing requests.
 func (load *crashLoad) watchEngines() {
 	load.arrivedAt = func(run *fleetRun) {
-		if run.crashing && load.blockingDue(contact) && load.inTouch(run.entry, contact) {
+		if run.crashing && load.blockingDue(contact) && load.inTouch(run.entry) {
 			load.lateArrivals++
 		}
 	}
--- a/internal/core/dispatch/replay_test.go
+++ b/internal/core/dispatch/replay_test.go
@@ -15,6 +15,7 @@
 	"endivepost/internal/core/dispatch"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/mesh"
+	"endivepost/internal/data/revision"
 	"endivepost/internal/policy/retrywindow"
 	"endivepost/internal/policy/tiered"
 	"endivepost/internal/standin/batch"
@@ -129,7 +130,7 @@
 		name := fmt.Sprintf("engine-%d", i)
 		upstreams = append(upstreams, event.Upstream{Name: name, Pool: "engines", Address: name, Domain: "a", Slots: 64, Revision: 1})
 	}
-	inputs := []event.Input{event.DocumentRead{Raw: raw}, event.UpstreamListRead{Upstreams: upstreams, Revision: 1}}
+	inputs := []event.Input{event.DocumentRead{Raw: raw}, event.UpstreamListRead{Upstreams: upstreams, Revision: revision.New(0, 1)}}
 	for other := range replay.scenario.entries {
 		if other != number {
 			inputs = append(inputs, event.LinkOpened{Peer: mesh.AcceptedKey(address(other)), Link: 1})
--- a/internal/core/dispatch/upstream_limit_test.go
+++ b/internal/core/dispatch/upstream_limit_test.go
@@ -103,7 +103,7 @@
 		return
 	}
 	told, known := load.told[name][run.entry.number]
-	counted := known && load.now >= told+toldDelay && load.inTouch(run.entry, contact)
+	counted := known && load.now >= told+toldDelay && load.inTouch(run.entry)
 	load.arrivals[name] = append(load.arrivals[name], limitedArrival{at: load.now, counted: counted})
 }
 
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endivepost/internal/data/revision"
 	"endivepost/internal/wire/message"
 )
 
@@ -54,16 +55,20 @@
 // UpstreamRemoved reports that the row of an upstream was removed at Revision.
 type UpstreamRemoved struct {
 	Name     string
-	Revision uint64
+	Revision revision.Revision
 }
 
 // UpstreamListRead is the whole published list. An upstream that is not in it had
 // no row at Revision, the revision at which the first page was read.
 type UpstreamListRead struct {
 	Upstreams []Upstream
-	Revision  uint64
+	Revision  revision.Revision
 }
 
+// UpstreamListConfirmed reports that the published list has no changes up to now but those
+// that were reported.
+type UpstreamListConfirmed struct{}
+
 // StoreUnreachable reports that the configuration service stopped responding.
 type StoreUnreachable struct{}
 
@@ -221,6 +226,8 @@
 	Name    string
 	Address string
 	Version uint64
+	// Era is that of the revision in Version.
+	Era uint64
 }
 
 // Source is where the information behind a state change came from.
@@ -286,17 +293,18 @@
 	LimitEnded
 )
 
-func (UpstreamUpdated) input()   {}
-func (UpstreamRemoved) input()   {}
-func (UpstreamListRead) input()  {}
-func (StoreUnreachable) input()  {}
-func (StoreReachable) input()    {}
-func (PeerDiscovered) input()    {}
-func (CacheReported) input()     {}
-func (AttemptFirstByte) input()  {}
-func (LimitReported) input()     {}
-func (AttemptEnded) input()      {}
-func (AttemptProgressed) input() {}
+func (UpstreamUpdated) input()       {}
+func (UpstreamRemoved) input()       {}
+func (UpstreamListRead) input()      {}
+func (UpstreamListConfirmed) input() {}
+func (StoreUnreachable) input()      {}
+func (StoreReachable) input()        {}
+func (PeerDiscovered) input()        {}
+func (CacheReported) input()         {}
+func (AttemptFirstByte) input()      {}
+func (LimitReported) input()         {}
+func (AttemptEnded) input()          {}
+func (AttemptProgressed) input()     {}
 
 func (Attempt) output()      {}
 func (QueryCache) output()   {}
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -6,15 +6,19 @@
 	"time"
 
 	"endivepost/internal/core/event"
+	"endivepost/internal/data/revision"
 	"endivepost/internal/data/table"
 	"endivepost/internal/wire/message"
 )
 
 // Membership decides which upstreams may be sent new requests. An update of a row
-// applies only if its revision is higher than the row's, whether it comes from the
-// list, a watch or a peer: stale updates are ignored.
+// applies only if its revision is later than the row's, whether it comes from the
+// list, a watch or a peer: stale updates are ignored. If the store was restored from a
+// copy, its list may contradict what is known from before; see restored.go.
 type Membership struct {
 	rows *table.Table[string, row]
+	// expiry is how long an upstream that is gone stays listed.
+	expiry time.Duration
 	// The store is the configuration service. storeRecovered is true once it was
 	// reachable again after an outage, storeReachableAt is when that was last.
 	storeUnreachable bool
@@ -25,40 +29,70 @@
 type row struct {
 	upstream event.Upstream
 	// revision is that of the latest update, which may be a removal or a departure.
-	revision uint64
+	revision revision.Revision
 	leaving  bool
+	// departure is the revision at which a leaving upstream departed.
+	departure revision.Revision
 	// unusableFrom is when a leaving upstream gets no more new requests.
 	unusableFrom time.Duration
 	// departedAt is when a leaving upstream was first marked as leaving. MarkAddressReused
 	// does not set it: it then stays the time of the last update.
 	departedAt time.Duration
+	// fromList is true if the row comes from a list, which may be that of a copy, and no
+	// update has confirmed it.
+	fromList bool
+	// doubted is a listed row that contradicts what is known from an earlier era. It replaces
+	// this one at adoptAt, unless there is an update before. Without one adoptAt is 0.
+	doubted event.Upstream
+	adoptAt time.Duration
 }
 
 const (
 	// reappearGrace is how long after the configuration service is reachable again
 	// rows that expired in its outage may still reappear.
 	reappearGrace = 2200 * time.Millisecond
-	// departureRetention is how long a departure is reported to peers.
+	// departureRetention is how long a departure is reported to peers; one that a list
+	// contradicts is reported for as long as that row is in doubt.
 	departureRetention = 10 * time.Second
 	// rowRetention is how long the row of an upstream that is leaving or was removed is
 	// stored, so that a stale update cannot restore it.
 	rowRetention = 2 * time.Minute
 )
 
-// New returns a membership without upstreams.
-func New() *Membership {
-	return &Membership{rows: table.New[string, row]()}
+// New returns a membership without upstreams. Expiry is how long the published list
+// contains an upstream that is gone.
+func New(expiry time.Duration) *Membership {
+	return &Membership{rows: table.New[string, row](), expiry: expiry}
+}
+
+// newRow returns the row of a published upstream.
+func newRow(now time.Duration, upstream event.Upstream) row {
+	at := position(upstream)
+	return row{upstream: upstream, revision: at, leaving: upstream.Leaving, departure: at, unusableFrom: now, departedAt: now}
+}
+
+func position(upstream event.Upstream) revision.Revision {
+	return revision.New(upstream.Era, upstream.Revision)
+}
+
+// WithDeparture returns the row of an upstream that departed at the revision.
+func (row row) WithDeparture(now time.Duration, at revision.Revision) row {
+	row.leaving = true
+	row.departure = at
+	row.unusableFrom = now
+	row.departedAt = now
+	return row
 }
 
 // Update applies a published row and returns whether the upstream is new or its
 // address, start time or leaving state changed.
 func (membership *Membership) Update(now time.Duration, upstream event.Upstream) bool {
 	current, known := membership.rows.Get(upstream.Name)
-	if known && upstream.Revision <= current.revision {
+	if known && !position(upstream).After(current.revision) {
 		return false
 	}
 	changed := !known || current.upstream.Address != upstream.Address || current.leaving != upstream.Leaving || current.upstream.Started != upstream.Started
-	next := row{upstream: upstream, revision: upstream.Revision, leaving: upstream.Leaving, unusableFrom: now, departedAt: now}
+	next := newRow(now, upstream)
 	if known && current.leaving && upstream.Leaving {
 		next.unusableFrom = current.unusableFrom
 		next.departedAt = current.departedAt
@@ -70,17 +104,19 @@
 // Remove applies the removal of a row at the revision and returns whether it took
 // effect. While the configuration service is unreachable, or shortly after, the row
 // may only have expired: the upstream then stays usable until reappearGrace is
-// over.
-func (membership *Membership) Remove(now time.Duration, name string, revision uint64) bool {
+// over. It is the same with a row that the copy lacks from which the service was restored.
+func (membership *Membership) Remove(now time.Duration, name string, at revision.Revision) bool {
 	current, known := membership.rows.Get(name)
-	if !known || revision <= current.revision || current.leaving {
+	if !known || !at.After(current.revision) {
 		return false
 	}
-	current.leaving = true
-	current.revision = revision
-	current.unusableFrom = now
-	current.departedAt = now
-	if membership.storeUnreachable {
+	if current.leaving {
+		membership.rows.Put(name, current.WithUpdateAt(at))
+		return false
+	}
+	restored := at.Era > current.revision.Era
+	current = current.WithUpdateAt(at).WithDeparture(now, at)
+	if membership.storeUnreachable || restored {
 		current.unusableFrom = now + reappearGrace
 	} else if membership.storeRecovered && now < membership.storeReachableAt+reappearGrace {
 		current.unusableFrom = membership.storeReachableAt + reappearGrace
@@ -91,17 +127,17 @@
 
 // Replace applies the whole upstream list as of the revision, removing rows that
 // are not in it, and returns the names of the changed rows.
-func (membership *Membership) Replace(now time.Duration, upstreams []event.Upstream, revision uint64) []string {
+func (membership *Membership) Replace(now time.Duration, upstreams []event.Upstream, at revision.Revision) []string {
 	var changed []string
 	listed := make(map[string]bool, len(upstreams))
 	for _, upstream := range upstreams {
 		listed[upstream.Name] = true
-		if membership.Update(now, upstream) {
+		if membership.updateFromList(now, upstream) {
 			changed = append(changed, upstream.Name)
 		}
 	}
 	for _, name := range membership.rows.Keys() {
-		if !listed[name] && membership.Remove(now, name, revision) {
+		if !listed[name] && membership.Remove(now, name, at) {
 			changed = append(changed, name)
 		}
 	}
@@ -109,16 +145,21 @@
 }
 
 // ApplyDeparture applies a peer's notice that an upstream is leaving or removed,
-// and returns whether it took effect.
+// and returns whether it took effect. A notice about an earlier process does not.
 func (membership *Membership) ApplyDeparture(now time.Duration, departure message.Departure) bool {
 	current, known := membership.rows.Get(departure.Upstream)
-	if !known || departure.Revision <= current.revision || current.leaving {
+	if !known || current.leaving || departure.Started < current.upstream.Started {
+		return false
+	}
+	at := revision.New(departure.Era, departure.Revision)
+	switch {
+	case at.After(current.revision):
+		current = current.WithUpdateAt(at).WithDeparture(now, at)
+	case current.contradicts(departure):
+		current = current.WithDoubted(current.upstream, now+membership.expiry).WithDeparture(now, at)
+	default:
 		return false
 	}
-	current.leaving = true
-	current.revision = departure.Revision
-	current.unusableFrom = now
-	current.departedAt = now
 	membership.rows.Put(departure.Upstream, current)
 	return true
 }
@@ -131,6 +172,7 @@
 		return
 	}
 	current.leaving = true
+	current.departure = current.revision
 	current.unusableFrom = now
 	membership.rows.Put(name, current)
 }
@@ -186,8 +228,10 @@
 		current, _ := membership.rows.Get(name)
 		switch {
 		case !current.leaving || now < current.unusableFrom:
-		case now-current.departedAt < departureRetention:
-			departures = append(departures, message.Departure{Upstream: name, Revision: current.revision})
+		case now-current.departedAt < departureRetention || current.adoptAt > 0:
+			departures = append(departures, message.Departure{
+				Upstream: name, Era: current.departure.Era, Revision: current.departure.Number, Started: current.upstream.Started,
+			})
 		case now-current.departedAt > rowRetention:
 			membership.rows.Delete(name)
 		}
@@ -195,15 +239,19 @@
 	return departures
 }
 
-// Rows returns all rows with their latest revision and leaving state, such as for a
-// peer without an upstream list.
+// Rows returns all rows with their leaving state and the revision of what is known of it,
+// such as for a peer without an upstream list.
 func (membership *Membership) Rows() []event.Upstream {
 	var rows []event.Upstream
 	for _, name := range membership.rows.Keys() {
 		current, _ := membership.rows.Get(name)
+		at := current.revision
+		if current.leaving {
+			at = current.departure
+		}
 		upstream := current.upstream
 		upstream.Leaving = current.leaving
-		upstream.Revision = current.revision
+		upstream.Era, upstream.Revision = at.Era, at.Number
 		rows = append(rows, upstream)
 	}
 	return rows
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -6,9 +6,13 @@
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/membership"
+	"endivepost/internal/data/revision"
 	"endivepost/internal/wire/message"
 )
 
+// expiry is how long an upstream that is gone stays listed.
+const expiry = 4 * time.Second
+
 func upstream(revision uint64) event.Upstream {
 	return event.Upstream{Name: "u-1", Pool: "p", Address: "10.0.0.1:80", Revision: revision}
 }
@@ -30,17 +34,17 @@
 		{"leaving in a stale update", func(members *membership.Membership) {
 			members.Update(0, event.Upstream{Name: "u-1", Leaving: true, Revision: 9})
 		}, 0, true},
-		{"removed", func(members *membership.Membership) { members.Remove(0, "u-1", 12) }, 0, false},
+		{"removed", func(members *membership.Membership) { members.Remove(0, "u-1", revision.New(0, 12)) }, 0, false},
 		{"removed and listed again", func(members *membership.Membership) {
-			members.Remove(0, "u-1", 12)
+			members.Remove(0, "u-1", revision.New(0, 12))
 			members.Update(0, upstream(13))
 		}, 0, true},
 		{"removed, then a stale update", func(members *membership.Membership) {
-			members.Remove(0, "u-1", 12)
+			members.Remove(0, "u-1", revision.New(0, 12))
 			members.Update(0, upstream(11))
 		}, 0, false},
-		{"missing from the list", func(members *membership.Membership) { members.Replace(0, nil, 12) }, 0, false},
-		{"missing from a stale list", func(members *membership.Membership) { members.Replace(0, nil, 9) }, 0, true},
+		{"missing from the list", func(members *membership.Membership) { members.Replace(0, nil, revision.New(0, 12)) }, 0, false},
+		{"missing from a stale list", func(members *membership.Membership) { members.Replace(0, nil, revision.New(0, 9)) }, 0, true},
 		{"departure from a peer", func(members *membership.Membership) {
 			members.ApplyDeparture(0, message.Departure{Upstream: "u-1", Revision: 12})
 		}, 0, false},
@@ -60,8 +64,8 @@
 		}, 0, false},
 	}
 	for _, row := range cases {
-		members := membership.New()
-		members.Replace(0, []event.Upstream{upstream(10)}, 10)
+		members := membership.New(expiry)
+		members.Replace(0, []event.Upstream{upstream(10)}, revision.New(0, 10))
 		row.update(members)
 		if got := members.Usable(row.at, "u-1"); got != row.usable {
 			t.Errorf("%s: got usable %v at %v, want %v", row.name, got, row.at, row.usable)
@@ -77,15 +81,15 @@
 func expired(members *membership.Membership) {
 	members.HandleStoreUnreachable()
 	members.HandleStoreReachable(time.Second)
-	members.Remove(time.Second, "u-1", 12)
+	members.Remove(time.Second, "u-1", revision.New(0, 12))
 }
 
 // TestDeparturesExpire guards against departures that peers never receive, and
 // against reporting them for ever.
 func TestDeparturesExpire(t *testing.T) {
-	members := membership.New()
-	members.Replace(0, []event.Upstream{upstream(10)}, 10)
-	members.Remove(0, "u-1", 12)
+	members := membership.New(expiry)
+	members.Replace(0, []event.Upstream{upstream(10)}, revision.New(0, 10))
+	members.Remove(0, "u-1", revision.New(0, 12))
 	if got := members.Departures(time.Second); len(got) != 1 || got[0] != (message.Departure{Upstream: "u-1", Revision: 12}) {
 		t.Errorf("after 1 s: got departures %+v, want that of u-1 at revision 12", got)
 	}
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -78,6 +78,8 @@
 	Retries retrywindow.Settings
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace time.Duration
+	// ListExpiry is how long an upstream that is gone stays in the published list.
+	ListExpiry time.Duration
 	// DroppedLines returns the number of log lines that were dropped because the log
 	// was not read fast enough.
 	DroppedLines func() int64
@@ -149,6 +151,7 @@
 		Queue:             tiered.New[message.RequestID](tiered.Floor{Wait: floorWait, Every: floorEvery}),
 		HeartbeatInterval: heartbeatInterval,
 		UpstreamWait:      upstreamWait,
+		ListExpiry:        settings.ListExpiry,
 	})
 	entry.loop = loop.New(entry.dispatcher, time.Now(), entry.perform)
 	return entry
@@ -317,9 +320,13 @@
 			entry.setLimited(output.Name, output.State == event.Limited)
 		}
 		entry.telemetry.Metrics.Tagged(map[string]string{"belief": string(stateEvents[output.State])}).Counter("beliefs").Inc(1)
-		entry.log(stateEvents[output.State]).WithFields(logrus.Fields{
+		line := entry.log(stateEvents[output.State]).WithFields(logrus.Fields{
 			"name": output.Name, "source": output.Source.String(), "version": output.Version,
-		}).Info()
+		})
+		if output.State == event.Usable || output.State == event.Leaving {
+			line = line.WithField("era", output.Era)
+		}
+		line.Info()
 	case event.Ready:
 		entry.ready.Store(true)
 		entry.log(logevent.Ready).Info()
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -81,10 +81,12 @@
 }
 
 // Departure reports that an upstream is leaving or was removed as of a revision
-// of its row in the published list.
+// of its row in the published list. Era and Started are as in Upstream.
 type Departure struct {
 	Upstream string `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
+	Era      uint64 `cbor:"3,keyasint,omitempty"`
+	Started  int64  `cbor:"4,keyasint,omitempty"`
 }
 
 // PromptPart is a run of tokens that is the same in all prompts that contain a
@@ -137,4 +139,7 @@
 	// Started is the start time of the upstream's process by its own clock, in Unix
 	// milliseconds; 0 if not published. It distinguishes one process from the next.
 	Started int64 `cbor:"8,keyasint,omitempty"`
+	// Era is the era of the published list in which the row has its revision. It rises when
+	// the list is restored from a copy; revisions are then given out again.
+	Era uint64 `cbor:"9,keyasint,omitempty"`
 }
