Resume a stream beside an upstream of its build only, with sidecars too

The class document can say the build of each upstream now. A stream of which chunks were delivered is resumed only beside an upstream of the build that it was bound to; without one it ends as incomplete.

Documents without builds behave as before.

--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -140,6 +140,9 @@
 	Model         string `json:"model,omitempty"`
 	Service       string `json:"service,omitempty"`
 	ChecksFencing bool   `json:"checks-fencing,omitempty"`
+	// Build is the version of the upstream's software. A stream is resumed only at an
+	// upstream of the build that began it.
+	Build string `json:"build,omitempty"`
 }
 
 // MaxBytes is the size of the largest document that the configuration service stores.
@@ -259,6 +262,16 @@
 	return Pool{}, false
 }
 
+// Upstream returns the listed upstream with the name.
+func (document Document) Upstream(name string) (Upstream, bool) {
+	for _, upstream := range document.Upstreams {
+		if upstream.Name == name {
+			return upstream, true
+		}
+	}
+	return Upstream{}, false
+}
+
 // Repeatable returns whether a request of the class may run more than once. A
 // streamed request may if its stream can be resumed.
 func (class Class) Repeatable() bool {
--- a/internal/core/router/placement.go
+++ b/internal/core/router/placement.go
@@ -121,7 +121,8 @@
 func (router *Router) untried(row requestRow) []placement.Candidate {
 	var candidates []placement.Candidate
 	for _, candidate := range router.candidates(row.request) {
-		if !slices.Contains(row.refused, candidate.Name) && !slices.Contains(row.reserved, candidate.Name) {
+		resumable := row.resumeFrom == 0 || router.buildOf(candidate.Name) == row.build
+		if resumable && !slices.Contains(row.refused, candidate.Name) && !slices.Contains(row.reserved, candidate.Name) {
 			candidates = append(candidates, candidate)
 		}
 	}
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -41,8 +41,10 @@
 	// index at which missing chunks were requested last, 0 for never.
 	nextChunk int
 	gapAt     int
-	// resumeFrom is the number of data chunks that a resumed stream skips.
+	// resumeFrom is the number of data chunks that a resumed stream skips, build that of the
+	// upstream that began it.
 	resumeFrom int
+	build      string
 	// sendBy is the latest send time that still meets the target for the first token.
 	// Without ShedLate or such a target it is the deadline of the first attempt. Retries
 	// do not change it.
@@ -228,10 +230,19 @@
 	router.peers.Put(name, peer.WithBound(1).WithSent(1))
 	router.settings.Queue.Remove(row.request.ID)
 	row = row.WithBound(name, peer.uptime)
+	if row.request.Payload.Stream && row.resumeFrom == 0 {
+		row.build = router.buildOf(name)
+	}
 	router.requests.Put(row.request.ID, row)
 	return row
 }
 
+// buildOf returns the build of the upstream in the active document.
+func (router *Router) buildOf(name string) string {
+	upstream, _ := router.config.Document().Upstream(name)
+	return upstream.Build
+}
+
 // unbind subtracts the request from its sidecar's count of bound requests. The row
 // itself does not change.
 func (router *Router) unbind(row requestRow) {
--- a/internal/core/router/router_test.go
+++ b/internal/core/router/router_test.go
@@ -118,3 +118,57 @@
 		}
 	}
 }
+
+// newPair returns a router with a stream bound to the first of two sidecars, with one chunk of
+// data delivered.
+func newPair(builds ...string) *router.Router {
+	entry := router.New(router.Settings{
+		Name: "entry-1", Placement: latebinding.New(2), Queue: tiered.New[message.RequestID](tiered.Floor{}),
+		Random: rand.New(rand.NewPCG(1, 1)), QueueCapacity: 8, SubsetSize: 8, PushLease: time.Second, HeartbeatInterval: time.Hour,
+		HeartbeatTimeout: 2 * time.Hour, ReattachTimeout: time.Second, ReadyGrace: time.Second, RedialDelay: time.Second,
+	})
+	class := guide
+	class.Streamed, class.Resumable = true, true
+	published := document.Document{Version: 1, Classes: []document.Class{class}}
+	var members []event.Member
+	for i, build := range builds {
+		name := pairNames[i]
+		published.Upstreams = append(published.Upstreams, document.Upstream{Name: name, Model: "m", Build: build})
+		members = append(members, event.Member{Name: name, Address: name, Role: "sidecar"})
+	}
+	raw, _ := json.Marshal(published)
+	entry.Step(0, []event.Input{event.DocumentRead{Raw: raw}, event.MembersRead{Members: members}})
+	heartbeat := message.Heartbeat{Uptime: 1, ConfigVersion: 1, Load: message.Load{Limit: 1, Running: 1}}
+	for _, name := range pairNames {
+		entry.Step(0, []event.Input{event.LinkOpened{Peer: name, Link: 1, Boot: 1}})
+		entry.Step(now, []event.Input{event.Received{Peer: name, Link: 1, Message: heartbeat}})
+	}
+	id := message.NewRequestID(1, 1)
+	entry.Step(now, []event.Input{event.Submitted{Request: event.Request{ID: id, Class: class, Payload: message.Payload{Stream: true}}}})
+	attempt := id.WithAttempt(1)
+	entry.Step(now, []event.Input{from(message.Claim{ID: attempt}), from(message.Chunk{ID: attempt}), from(message.Chunk{ID: attempt, Index: 1})})
+	return entry
+}
+
+var pairNames = [...]string{"up-1", "up-2"}
+
+// TestStreamResumesAtItsBuild guards against a response of chunks that two builds wrote: after
+// the sidecar was lost, the rest comes from one beside an upstream of the same build or not at
+// all.
+func TestStreamResumesAtItsBuild(t *testing.T) {
+	for _, row := range []struct {
+		builds  []string
+		resumed int
+	}{{[]string{"v1", "v1"}, 1}, {[]string{"v1", "v2"}, 0}, {[]string{"", ""}, 1}} {
+		entry := newPair(row.builds...)
+		outputs := entry.Step(now, []event.Input{event.LinkClosed{Peer: "up-1", Link: 1}})
+		outputs = append(outputs, entry.Step(now+2*time.Second, nil)...)
+		resumed := count(outputs, func(sent event.Send) bool {
+			reserve, ok := sent.Message.(message.Reserve)
+			return ok && sent.Peer == "up-2" && reserve.ResumeFrom == 1
+		})
+		if resumed != row.resumed {
+			t.Errorf("builds %q: got %d reservations for the rest of the stream, want %d; outputs %+v", row.builds, resumed, row.resumed, outputs)
+		}
+	}
+}
