Observe the build of a changed row alone

A change of one row walked all rows to observe their builds, so a list of n changed rows cost n times n steps as an entry starts. The build of the changed row is observed instead, and all of them once for each list, confirmation and heartbeat.

--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -71,6 +71,7 @@
 // updateUpstream applies a row of the upstream list.
 func (dispatcher *Dispatcher) updateUpstream(now time.Duration, source event.Source, upstream event.Upstream) {
 	dispatcher.forgetIfRestarted(upstream)
+	dispatcher.origins.Observe(now, upstream.Pool, upstream.Build)
 	dispatcher.reportUpstreamChange(now, upstream.Name, source, dispatcher.membership.Update(now, upstream))
 }
 
@@ -84,7 +85,6 @@
 	dispatcher.upstreamsChanged = true
 	dispatcher.capacityFreed = true
 	clear(dispatcher.pools)
-	dispatcher.observeBuilds(now)
 	upstream, _ := dispatcher.membership.Find(name)
 	state := event.Usable
 	if !dispatcher.membership.Usable(now, name) {
--- a/internal/core/streamorigin/streamorigin.go
+++ b/internal/core/streamorigin/streamorigin.go
@@ -82,7 +82,7 @@
 	}
 	for pool, builds := range listed {
 		for _, build := range builds {
-			origins.observeBuild(pool, build, now)
+			origins.Observe(now, pool, build)
 		}
 	}
 	for _, builds := range origins.lastListed {
@@ -94,19 +94,17 @@
 	}
 }
 
-// observeBuild records that the build was listed at the time.
-func (origins *Origins) observeBuild(pool, build string, at time.Duration) {
-	builds := origins.lastListed[pool]
-	if builds == nil {
-		builds = make(map[string]time.Duration)
-		origins.lastListed[pool] = builds
+// Observe records that the build of the pool was listed at the time.
+func (origins *Origins) Observe(at time.Duration, pool, build string) {
+	if origins.lastListed[pool] == nil {
+		origins.lastListed[pool] = make(map[string]time.Duration)
 	}
+	builds := origins.lastListed[pool]
 	last, known := builds[build]
 	if !known && len(builds) == 1 {
 		origins.Resend()
 	}
-	builds[build] = max(last, at)
-	if !known {
+	if !known || at > last {
 		builds[build] = at
 	}
 }
@@ -168,7 +166,7 @@
 func (origins *Origins) Merge(now time.Duration, report message.StreamOrigins, relay bool) {
 	for _, pool := range report.Pools {
 		for _, listed := range pool.Builds {
-			origins.observeBuild(pool.Pool, listed.Build, now-listed.Age)
+			origins.Observe(now-listed.Age, pool.Pool, listed.Build)
 		}
 	}
 	if origins.observing && report.Confirmed {
