Dial entries that cannot be reached for long, seldom

Entries that were cut off from each other for 16 s and more never connected again: a peer was dropped after five failures if it had been discovered more than 30 s before, however lately it was connected, and only connected entries are listed to others. From then on each kept its own retry budget, named limits, blame, and now the builds of streams for itself.

An entry that could not be connected to for 30 s no longer counts towards what is shared, and is dialled on for 30 minutes: each 2 to 6 s while up to eight are unreachable, more of them in turn at the same rate, so that the cost does not grow with the fleet.

--- a/internal/core/mesh/dialing.go
+++ b/internal/core/mesh/dialing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivepost/internal/core/event"
+	"endivepost/internal/data/table"
 	"endivepost/internal/policy/subset"
 )
 
@@ -21,26 +22,31 @@
 	}
 	targets := mesh.dialTargets()
 	for _, address := range due {
-		peer, known := mesh.peers.Get(address)
+		rows := mesh.rows(address)
+		peer, known := rows.Get(address)
 		if !known || peer.dialing {
 			continue
 		}
-		if !targets[address] || mesh.connected(address) {
+		if rows == mesh.peers && (!targets[address] || mesh.connected(address)) {
 			mesh.dialDue.Set(address, now+recheckInterval)
 			continue
 		}
-		if now-peer.discoveredAt > peerRetention && peer.failures > maxDoublings {
-			mesh.peers.Delete(address)
-			continue
-		}
 		peer.dialing = true
 		peer.lastLink++
-		mesh.peers.Put(address, peer)
+		rows.Put(address, peer)
 		outputs = append(outputs, event.Dial{Peer: dialPrefix + address, Address: address, Link: peer.lastLink})
 	}
 	return outputs
 }
 
+// rows returns the table that has the peer, or would have it.
+func (mesh *Mesh) rows(address string) *table.Table[string, peerRow] {
+	if _, found := mesh.unreachable.Get(address); found {
+		return mesh.unreachable
+	}
+	return mesh.peers
+}
+
 // dialTargets returns the addresses that this entry dials: in a large fleet each
 // entry dials a bounded subset of the others, and updates spread through them.
 func (mesh *Mesh) dialTargets() map[string]bool {
@@ -61,12 +67,13 @@
 }
 
 func (mesh *Mesh) resetDialing(address string) {
-	peer, known := mesh.peers.Get(address)
+	peer, known := mesh.rows(address).Get(address)
 	if !known {
 		return
 	}
 	peer.dialing = false
 	peer.failures = 0
+	mesh.unreachable.Delete(address)
 	mesh.peers.Put(address, peer)
 }
 
@@ -78,15 +85,37 @@
 	if current, ok := mesh.links.Get(closed.Peer); ok && current.link == closed.Link {
 		mesh.links.Delete(closed.Peer)
 	}
-	peer, known := mesh.peers.Get(address)
+	rows := mesh.rows(address)
+	peer, known := rows.Get(address)
 	if !known {
 		return
 	}
 	if dialled && closed.Link == peer.lastLink {
 		peer.dialing = false
 	}
+	if peer.failures == 0 {
+		peer.failingSince = now
+	}
 	peer.failures++
-	mesh.peers.Put(address, peer)
-	delay := mesh.settings.RedialDelay << min(peer.failures-1, maxDoublings)
+	failingFor := now - peer.failingSince
+	switch {
+	case failingFor > unreachableRetention:
+		rows.Delete(address)
+		return
+	case failingFor > peerRetention && peer.failures >= minFailures:
+		mesh.peers.Delete(address)
+		rows = mesh.unreachable
+	}
+	rows.Put(address, peer)
+	delay := mesh.redialDelay(peer, rows == mesh.unreachable)
 	mesh.dialDue.Set(address, now+delay/2+time.Duration(mesh.settings.Random.Int64N(int64(delay))))
 }
+
+// redialDelay returns the mean delay before the peer is dialled again. All unreachable peers
+// together are dialled no more often than Fanout peers would be.
+func (mesh *Mesh) redialDelay(peer peerRow, unreachable bool) time.Duration {
+	if !unreachable {
+		return mesh.settings.RedialDelay << min(peer.failures-1, maxDoublings)
+	}
+	return unreachableInterval * time.Duration(1+mesh.unreachable.Len()/max(mesh.settings.Fanout, 1))
+}
--- a/internal/core/mesh/mesh.go
+++ b/internal/core/mesh/mesh.go
@@ -18,11 +18,14 @@
 // ones from their heartbeats. An entry is identified by the address at which its
 // peers reach it.
 type Mesh struct {
-	settings  Settings
-	peers     *table.Table[string, peerRow]
-	links     *table.Table[string, linkRow]
-	dialDue   *timerqueue.Queue[string]
-	lastHeard *table.Table[string, time.Duration]
+	settings Settings
+	// peers are the entries that count, unreachable those that could not be connected to
+	// for long. These are still dialled, seldom: a cut may be long, and separate all.
+	peers       *table.Table[string, peerRow]
+	unreachable *table.Table[string, peerRow]
+	links       *table.Table[string, linkRow]
+	dialDue     *timerqueue.Queue[string]
+	lastHeard   *table.Table[string, time.Duration]
 }
 
 // Settings of a Mesh. Self is the address of this entry. Fanout bounds the entries
@@ -40,12 +43,12 @@
 
 // peerRow is the state of an entry that may be dialled. lastLink is the number of
 // the link that was dialled last. failures counts the failed dials and closed links
-// since a link to the peer last opened.
+// since a link to the peer last opened, from failingSince on.
 type peerRow struct {
 	dialing      bool
 	lastLink     uint64
 	failures     int
-	discoveredAt time.Duration
+	failingSince time.Duration
 }
 
 // linkRow is the state of an open link. The table's key tells a dialled from an
@@ -65,9 +68,13 @@
 	// recheckInterval is the time after which a peer that was not dialled is
 	// considered again: it may be chosen once others are gone.
 	recheckInterval = 5 * time.Second
-	// peerRetention is the least time from the discovery of an address until it is
-	// dropped as unreachable, after more than maxDoublings failures.
-	peerRetention = 30 * time.Second
+	// peerRetention is how long connecting to a peer must have failed, minFailures times,
+	// until it counts as unreachable. It is forgotten after unreachableRetention.
+	peerRetention        = 30 * time.Second
+	minFailures          = 5
+	unreachableRetention = 30 * time.Minute
+	// unreachableInterval is the least time between two dials of an unreachable peer.
+	unreachableInterval = 4 * time.Second
 	// entryRetention is how long an entry counts as active after it was last heard
 	// from: its part of a fleet-wide limit may still be in use.
 	entryRetention = 10 * time.Second
@@ -91,15 +98,17 @@
 // New returns a mesh without any known peer.
 func New(settings Settings) *Mesh {
 	return &Mesh{
-		settings:  settings,
-		peers:     table.New[string, peerRow](),
-		links:     table.New[string, linkRow](),
-		dialDue:   timerqueue.New[string](),
-		lastHeard: table.New[string, time.Duration](),
+		settings:    settings,
+		peers:       table.New[string, peerRow](),
+		unreachable: table.New[string, peerRow](),
+		links:       table.New[string, linkRow](),
+		dialDue:     timerqueue.New[string](),
+		lastHeard:   table.New[string, time.Duration](),
 	}
 }
 
-// AddPeer adds an address at which another entry may be reached.
+// AddPeer adds an address at which another entry may be reached. One that was unreachable
+// counts again: another entry is connected to it.
 func (mesh *Mesh) AddPeer(now time.Duration, address string) {
 	if address == mesh.settings.Self || address == "" {
 		return
@@ -107,7 +116,10 @@
 	if _, known := mesh.peers.Get(address); known {
 		return
 	}
-	mesh.peers.Put(address, peerRow{discoveredAt: now})
+	row, _ := mesh.unreachable.Get(address)
+	mesh.unreachable.Delete(address)
+	row.failures = 0
+	mesh.peers.Put(address, row)
 	mesh.dialDue.Set(address, now)
 }
 
