Treat streams that their callers do not name as unknown

Callers that take up a stream without Resumes would all have had the same identity, the hash of nothing: once the build of one was certain, it was that of all others, also after another build had come. Found by reading the change. Such a stream is unknown: it goes on only where the pool has one build.

--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -133,7 +133,7 @@
 		return
 	}
 	row.pool = dispatcher.pickPool(request.Class.Split)
-	row.begun = request.TakenUp && request.Class.Streamed
+	row.begun = request.TakenUp && request.Class.Streamed && request.Class.Resumable
 	row.latencySensitive = dispatcher.latencySensitive(now, row)
 	dispatcher.place(now, row)
 }
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -94,7 +94,7 @@
 	Timeout time.Duration
 	Prompt  Prompt
 	// Stream identifies the stream across the caller's attempts: it is a hash of the ID of
-	// the attempt that brought its first event. TakenUp is set if the caller has events of it.
+	// the attempt that brought its first event, 0 if that is unknown. TakenUp is set if the caller has events of it.
 	Stream  uint64
 	TakenUp bool
 }
--- a/internal/core/streamorigin/streamorigin.go
+++ b/internal/core/streamorigin/streamorigin.go
@@ -48,8 +48,9 @@
 }
 
 // Record records the build that began the stream of the pool. A build that is known stays.
+// Stream 0 stands for any that is unknown and is not recorded.
 func (origins *Origins) Record(now time.Duration, stream uint64, pool, build string) {
-	if _, known := origins.streams[stream]; known {
+	if _, known := origins.streams[stream]; known || stream == 0 {
 		return
 	}
 	origins.forgetOld(now)
@@ -180,7 +181,7 @@
 }
 
 func (origins *Origins) mergeStream(now time.Duration, stream uint64, begun message.BegunBy, relay bool) {
-	if _, known := origins.streams[stream]; known {
+	if _, known := origins.streams[stream]; known || stream == 0 {
 		return
 	}
 	origins.Record(now, stream, begun.Pool, begun.Build)
--- a/internal/core/streamorigin/streamorigin_test.go
+++ b/internal/core/streamorigin/streamorigin_test.go
@@ -118,9 +118,12 @@
 	for stream := range uint64(many) {
 		origins.Record(0, stream, pool, "v1")
 	}
-	if _, _, known := origins.Find(0); known {
+	if _, _, known := origins.Find(1); known {
 		t.Error("the oldest of very many streams is still known, want it forgotten")
 	}
+	if _, _, known := origins.Find(0); known {
+		t.Error("stream 0 is recorded, want it left out")
+	}
 	if _, _, known := origins.Find(many - 1); !known {
 		t.Error("the newest stream is not known")
 	}
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -178,12 +178,15 @@
 }
 
 // streamID hashes the ID of the request that brought the first event of the stream: of this
-// one, unless it takes up another one's.
+// one, unless it takes up another one's. It returns 0 if the caller does not say which.
 func streamID(info dialect.RequestInfo) uint64 {
 	first := info.ID
 	if info.ResumeAfter != "" {
 		first = info.Resumes
 	}
+	if first == "" {
+		return 0
+	}
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(first))
 	return sum.Sum64()
