Stop sending to a leaving upstream that may have expired

A row that is missing from the list after an outage, or from a copy, stays usable for 2.2 s, since the upstream may register again. If it registered as leaving, or a connected entry said that it leaves, within that time, it went on getting requests to the end of it: up to 2.2 s after the store's acknowledgement, where 2 s are allowed. Found by reading the change; the fault is older.

What an upstream says of itself ends the time at once, and so does a later departure that a connected entry reports. Two cases of TestListOfRestoredStore failed before and pass.

--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -94,7 +94,7 @@
 	changed := !known || current.upstream.Address != upstream.Address || current.leaving != upstream.Leaving || current.upstream.Started != upstream.Started
 	next := newRow(now, upstream)
 	if known && current.leaving && upstream.Leaving {
-		next.unusableFrom = current.unusableFrom
+		next.unusableFrom = min(current.unusableFrom, now)
 		next.departedAt = current.departedAt
 	}
 	membership.rows.Put(upstream.Name, next)
@@ -148,7 +148,8 @@
 // and returns whether it took effect. A notice about an earlier process does not.
 func (membership *Membership) ApplyDeparture(now time.Duration, departure message.Departure) bool {
 	current, known := membership.rows.Get(departure.Upstream)
-	if !known || current.leaving || departure.Started < current.upstream.Started {
+	departed := current.leaving && now >= current.unusableFrom
+	if !known || departed || departure.Started < current.upstream.Started {
 		return false
 	}
 	at := revision.New(departure.Era, departure.Revision)
--- a/internal/core/membership/restored.go
+++ b/internal/core/membership/restored.go
@@ -41,7 +41,7 @@
 // contradicts returns whether a departure of an earlier era is about the process that an
 // unconfirmed row lists.
 func (row row) contradicts(departure message.Departure) bool {
-	return row.fromList && departure.Era < row.revision.Era && departure.Started == row.upstream.Started
+	return !row.leaving && row.fromList && departure.Era < row.revision.Era && departure.Started == row.upstream.Started
 }
 
 // WithDoubted returns the row with a listed one that replaces it later.
--- a/internal/core/membership/restored_test.go
+++ b/internal/core/membership/restored_test.go
@@ -98,6 +98,19 @@
 			list(members, 0, 2, 90)
 			members.Update(time.Second, inEra(2, 91, 7, false))
 		}, 9 * time.Second, true},
+		{"missing from the copy and then leaving", func(members *membership.Membership) {
+			list(members, 0, 2, 90)
+			members.Update(time.Second, inEra(2, 91, 7, true))
+		}, time.Second, false},
+		{"missing from the copy, and a peer knows that it leaves", func(members *membership.Membership) {
+			list(members, 0, 2, 90)
+			members.ApplyDeparture(time.Second, message.Departure{Upstream: "u-1", Era: 2, Revision: 91, Started: 7})
+		}, time.Second, false},
+		{"missing from the copy, and a peer knows an earlier departure", func(members *membership.Membership) {
+			list(members, 0, 2, 90)
+			members.ApplyDeparture(time.Second, departure)
+			members.AdoptListed(expiry + time.Second)
+		}, expiry + time.Second, false},
 		{"peer knows a departure that the copy lacks", func(members *membership.Membership) {
 			list(members, 0, 2, 90, inEra(2, 80, 7, false))
 			members.ApplyDeparture(0, departure)
