Log who ended an attempt and what a stop waits for

Cause: of the three hypotheses of answers-cut-around-stops the log told none apart: attempt-failed has the same text for a stop by the dispatcher, the deadline and the caller, upstream-silent has the silence in a field called version, and shutdown-cut-off says in-progress=0 while a connection is in use. Change: attempt-failed has ended-by; upstream-silent is an event of its own with the silence, what the prefill accounts for and the time since the previous step; shutdown-cut-off counts requests that are being read, and new and active connections. Result: no logic changes; the tests of internal/node and platform pass.

--- a/internal/core/dispatch/unresponsive.go
+++ b/internal/core/dispatch/unresponsive.go
@@ -28,8 +28,13 @@
 // unresponsive returns whether the upstream has sent nothing for longer than the
 // pending prefill of all entries accounts for.
 func (dispatcher *Dispatcher) unresponsive(now time.Duration, name string, row upstreamRow) bool {
+	return row.inactiveFor(now) > unresponsiveTimeout+dispatcher.expectedSilence(name)
+}
+
+// expectedSilence returns for how long the upstream's pending prefill may keep it silent.
+func (dispatcher *Dispatcher) expectedSilence(name string) time.Duration {
 	prefill := enginechoice.PrefillTime(dispatcher.allLoads()[name].PrefillTokens)
-	return row.inactiveFor(now) > unresponsiveTimeout+time.Duration(prefillTimeFactor*float64(prefill))
+	return time.Duration(prefillTimeFactor * float64(prefill))
 }
 
 // moveFromUnresponsive moves repeatable requests away from unresponsive upstreams:
@@ -47,8 +52,9 @@
 		}
 		dispatcher.upstreams.Put(name, row.WithFailure(now))
 		upstream, _ := dispatcher.membership.Find(name)
-		dispatcher.emit(event.StateChanged{
-			State: event.Unresponsive, Name: name, Address: upstream.Address, Version: uint64(row.inactiveFor(now).Milliseconds()),
+		dispatcher.emit(event.UpstreamSilent{
+			Name: name, Address: upstream.Address, Silence: row.inactiveFor(now), Expected: dispatcher.expectedSilence(name),
+			SinceStep: now - dispatcher.lastStep, Running: row.load.Running,
 		})
 		dispatcher.moveRequests(now, name)
 	}
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -218,18 +218,31 @@
 
 // StateChanged reports, for the log, that the state of an upstream or of a request
 // changed as the core sees it. Name is the upstream, or the request's fingerprint in
-// hexadecimal. Address is the upstream's address and set only for Unresponsive. The
-// meaning of Version depends on State.
+// hexadecimal. The meaning of Version depends on State.
 type StateChanged struct {
 	State   State
 	Source  Source
 	Name    string
-	Address string
 	Version uint64
 	// Era is that of the revision in Version.
 	Era uint64
 }
 
+// UpstreamSilent reports that an upstream has requests in flight and sends nothing. Idle
+// connections to it may be broken too.
+type UpstreamSilent struct {
+	Name    string
+	Address string
+	// Silence is for how long it has sent nothing, Expected how much of that its pending
+	// prefill accounts for.
+	Silence  time.Duration
+	Expected time.Duration
+	// SinceStep is the time since the previous step of the core: if it is long, this process
+	// was itself paused.
+	SinceStep time.Duration
+	Running   int
+}
+
 // Source is where the information behind a state change came from.
 type Source uint8
 
@@ -271,9 +284,6 @@
 	// Leaving means that the upstream is leaving or was removed. Version is the
 	// revision of its row.
 	Leaving
-	// Unresponsive means that the upstream has work in flight and sends nothing.
-	// Version is for how long, in milliseconds. Idle connections to it may be broken too.
-	Unresponsive
 	// Suspected means that the request with the fingerprint in Name may have crashed
 	// upstreams. Version is their number.
 	Suspected
@@ -306,6 +316,7 @@
 func (AttemptEnded) input()          {}
 func (AttemptProgressed) input()     {}
 
-func (Attempt) output()      {}
-func (QueryCache) output()   {}
-func (StateChanged) output() {}
+func (Attempt) output()        {}
+func (QueryCache) output()     {}
+func (StateChanged) output()   {}
+func (UpstreamSilent) output() {}
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		ended.Result = failureResult(ctx, err)
 		ended.Delivered = inflight.started
-		inflight.logFailure(attempt, err)
+		inflight.logFailure(ctx, attempt, err)
 		return ended
 	}
 	ended.Status = answer.StatusCode
@@ -88,7 +88,7 @@
 	ended.Delivered = inflight.started
 	if err != nil {
 		ended.Result = failureResult(ctx, err)
-		inflight.logFailure(attempt, err)
+		inflight.logFailure(ctx, attempt, err)
 	}
 	return ended
 }
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -45,6 +45,8 @@
 	ready            atomic.Bool
 	draining         atomic.Bool
 	storeUnreachable atomic.Bool
+	// reading is the number of requests of which the body is being read.
+	reading atomic.Int64
 	// acceptedAt is when the active document was accepted, in Unix nanoseconds.
 	acceptedAt atomic.Int64
 	sequence   atomic.Uint64
@@ -237,7 +239,10 @@
 	entry.loop.Post(event.DrainStarted{ExitIn: entry.settings.Grace - exitMargin})
 	time.Sleep(min(balancerDrainDelay, entry.settings.Grace-exitMargin))
 	if err := callers.Shutdown(ctx); err != nil {
-		entry.log(logevent.ShutdownCutOff).WithError(err).WithField("in-progress", entry.inProgress()).Warn()
+		connections := callers.Connections()
+		entry.log(logevent.ShutdownCutOff).WithError(err).WithFields(logrus.Fields{
+			"in-progress": entry.inProgress(), "reading": entry.reading.Load(), "connections-new": connections.New, "connections-active": connections.Active,
+		}).Warn()
 	}
 	entry.closeLinks()
 	entry.log(logevent.Stopped).Info()
@@ -294,7 +299,7 @@
 
 // stateEvents maps the states of an upstream or request to log events.
 var stateEvents = map[event.State]logevent.Name{
-	event.Usable: logevent.UpstreamUsable, event.Leaving: logevent.UpstreamLeft, event.Unresponsive: logevent.UpstreamSilent,
+	event.Usable: logevent.UpstreamUsable, event.Leaving: logevent.UpstreamLeft,
 	event.Suspected: logevent.RequestSuspected, event.SuspicionCleared: logevent.RequestCleared,
 	event.Blamed: logevent.CrashCauseFound, event.BlameCleared: logevent.CrashCauseCleared,
 	event.Limited: logevent.UpstreamLimited, event.LimitEnded: logevent.UpstreamUnlimited,
@@ -312,14 +317,19 @@
 		}).Info()
 	case event.DocumentRejected:
 		entry.log(logevent.ConfigRejected).WithError(output.Err).Error()
+	case event.UpstreamSilent:
+		entry.exchange.Drop(output.Address)
+		entry.countBelief(logevent.UpstreamSilent)
+		entry.log(logevent.UpstreamSilent).WithFields(logrus.Fields{
+			"name": output.Name, "silent-ms": output.Silence.Milliseconds(), "expected-ms": output.Expected.Milliseconds(),
+			"since-step-ms": output.SinceStep.Milliseconds(), "running": output.Running,
+		}).Info()
 	case event.StateChanged:
 		switch output.State {
-		case event.Unresponsive:
-			entry.exchange.Drop(output.Address)
 		case event.Limited, event.LimitEnded, event.Leaving:
 			entry.setLimited(output.Name, output.State == event.Limited)
 		}
-		entry.telemetry.Metrics.Tagged(map[string]string{"belief": string(stateEvents[output.State])}).Counter("beliefs").Inc(1)
+		entry.countBelief(stateEvents[output.State])
 		line := entry.log(stateEvents[output.State]).WithFields(logrus.Fields{
 			"name": output.Name, "source": output.Source.String(), "version": output.Version,
 		})
--- a/internal/node/direct/observe.go
+++ b/internal/node/direct/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -121,19 +122,39 @@
 // logUndelivered logs that a buffered response could not be written to the caller.
 func (inflight *inflight) logUndelivered(err error) {
 	inflight.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
-		"request": inflight.info.ID, "attempt": 0, "upstream": "", "parts": "", "events": 0, "fingerprint": "", "cause": err.Error(),
+		"request": inflight.info.ID, "attempt": 0, "upstream": "", "parts": "", "events": 0, "fingerprint": "", "ended-by": "caller", "cause": err.Error(),
 	}).Info()
 }
 
-// logFailure logs why an attempt ended without a complete response. The newlines that
-// errors.Join puts between errors are replaced, so that the log has one line.
-func (inflight *inflight) logFailure(attempt event.Attempt, err error) {
+// countBelief counts a change of what the entry believes of an upstream or a request.
+func (entry *Entry) countBelief(name logevent.Name) {
+	entry.telemetry.Metrics.Tagged(map[string]string{"belief": string(name)}).Counter("beliefs").Inc(1)
+}
+
+// logFailure logs why an attempt ended without a complete response, and who ended it. The
+// newlines that errors.Join puts between errors are replaced, so that the log has one line.
+func (inflight *inflight) logFailure(ctx context.Context, attempt event.Attempt, err error) {
 	inflight.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
 		"request": inflight.info.ID, "attempt": attempt.Number, "upstream": attempt.Upstream, "parts": formatParts(inflight.resolved.Prompt.Parts),
-		"events": inflight.events, "fingerprint": fmt.Sprintf("%016x", inflight.resolved.Fingerprint), "cause": strings.ReplaceAll(err.Error(), "\n", "; "),
+		"events": inflight.events, "fingerprint": fmt.Sprintf("%016x", inflight.resolved.Fingerprint), "ended-by": endedBy(ctx),
+		"cause": strings.ReplaceAll(err.Error(), "\n", "; "),
 	}).Info()
 }
 
+// endedBy returns who ended an attempt with the context: the caller, the deadline or the
+// dispatcher, each by closing the connection, or else the upstream.
+func endedBy(ctx context.Context) string {
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return "upstream"
+	case errors.Is(cause, errStopped):
+		return "dispatcher"
+	case errors.Is(cause, errDeadline):
+		return "deadline"
+	}
+	return "caller"
+}
+
 // formatParts returns the IDs of the prompt parts in hexadecimal, separated by commas.
 func formatParts(parts []event.PromptPart) string {
 	ids := make([]string, len(parts))
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -137,7 +137,9 @@
 	if !known && !class.Open && len(published.Document().Accounts) > 0 {
 		return nil, refusal{status: http.StatusUnauthorized, code: "wrong-key", id: info.ID, version: version, detail: "no client account has this key"}
 	}
+	entry.reading.Add(1)
 	body, err := readBody(request, published.Document().Limits.BodyBytes)
+	entry.reading.Add(-1)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/httpserver/httpserver.go
+++ b/internal/node/httpserver/httpserver.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -15,6 +16,16 @@
 type Server struct {
 	server   *http.Server
 	listener net.Listener
+	// The mutex guards states, which has the state of each open connection.
+	mutex  sync.Mutex
+	states map[net.Conn]http.ConnState
+}
+
+// Connections are the numbers of open connections by state: New without a byte of a request
+// yet, Active with a request that is being read or answered.
+type Connections struct {
+	New    int
+	Active int
 }
 
 // There is no write timeout, because it would truncate long streams.
@@ -38,6 +49,7 @@
 	}
 	server = &Server{
 		listener: listener,
+		states:   make(map[net.Conn]http.ConnState),
 		server: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
@@ -46,6 +58,7 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 	}
+	server.server.ConnState = server.setState
 	go func() {
 		if err := server.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failed(fmt.Errorf("serve on %q: %w", address, err))
@@ -59,6 +72,31 @@
 	return server.listener.Addr().String()
 }
 
+func (server *Server) setState(conn net.Conn, state http.ConnState) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(server.states, conn)
+		return
+	}
+	server.states[conn] = state
+}
+
+// Connections returns the numbers of open connections.
+func (server *Server) Connections() (connections Connections) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for _, state := range server.states {
+		switch state {
+		case http.StateNew:
+			connections.New++
+		case http.StateActive:
+			connections.Active++
+		}
+	}
+	return connections
+}
+
 // Shutdown stops accepting connections and waits for the requests in flight, until the
 // context is done. It neither closes nor waits for WebSocket connections.
 func (server *Server) Shutdown(ctx context.Context) error {
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -71,7 +71,11 @@
 	{ReloadFailed, "SIGHUP was received and the settings file is invalid; the settings are unchanged", "error"},
 	{Draining, "SIGTERM was received", "in-progress"},
 	{Drained, "no request is in flight any more", ""},
-	{ShutdownCutOff, "the grace period ended with requests in flight", "error, in-progress"},
+	{
+		ShutdownCutOff, "the grace period ended with connections of callers in use: requests that are being read, requests in progress (an active " +
+			"connection with neither has an answer that is being written), and new connections without a request",
+		"error, in-progress, reading, connections-new, connections-active",
+	},
 	{Stopped, "the process exits", ""},
 	{ConfigAccepted, "a newer configuration is active", "version, classes, accounts"},
 	{ConfigRejected, "a configuration is invalid; the previous one stays active", "error"},
@@ -82,7 +86,11 @@
 	{StoreItemRejected, "an item of the store is invalid", "key, revision, error"},
 	{UpstreamUsable, "an upstream became available for requests; source is what reported it, version the revision of its row", "name, source, version, era"},
 	{UpstreamLeft, "an upstream is leaving or removed and gets no further requests", "name, source, version, era"},
-	{UpstreamSilent, "an upstream has requests in flight and sends no data; version is for how long, in ms", "name, source, version"},
+	{
+		UpstreamSilent, "an upstream has requests in flight and sends no data: silent-ms is for how long, of which its prefill accounts for expected-ms; " +
+			"with a long time since-step-ms this process was paused itself",
+		"name, silent-ms, expected-ms, since-step-ms, running",
+	},
 	{UpstreamLimited, "an upstream named a limit of the requests that it takes from all entries; version is the limit per 1000 s", "name, source, version"},
 	{UpstreamUnlimited, "an upstream no longer names a limit", "name, source, version"},
 	{CacheReported, "an engine was queried for its cached prompt parts because no other entry could list them; parts is their number", "name, parts, error"},
@@ -108,8 +116,8 @@
 	{FieldIgnored, "a header field used for the choice of an upstream is invalid; the request continues without it", "request, detail"},
 	{
 		AttemptFailed, "an attempt ended without a complete response (attempt 0: it did not reach the caller); parts are the IDs of the prompt's parts, " +
-			"events the events that the caller has",
-		"request, attempt, upstream, parts, events, fingerprint, cause",
+			"events the events that the caller has, ended-by is who ended it: upstream, or caller, deadline or dispatcher by closing the connection",
+		"request, attempt, upstream, parts, events, fingerprint, ended-by, cause",
 	},
 	{
 		AttemptEnded, "an attempt ended, unless it was the first and completed; the fields from running on are the load on which the upstream was chosen",
