--- /dev/null
+++ b/internal/core/dispatch/silence_test.go
@@ -0,0 +1,147 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"endivepost/internal/config/document"
+	"endivepost/internal/core/event"
+	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/wire/message"
+)
+
+var streamClass = document.Class{
+	Name: "stream", Streamed: true, Resumable: true, MaxAttempts: 3, Split: []document.Share{{Pool: "pool", Weight: 1}},
+}
+
+// beginStreams submits streams and reports the first event of each.
+func (harness *harness) beginStreams(count int) []event.Attempt {
+	attempts := make([]event.Attempt, count)
+	for i := range attempts {
+		harness.sequence++
+		attempts[i] = onlyOutput[event.Attempt](harness.t, harness.step(event.Submitted{Request: event.Request{
+			ID: message.NewRequestID(1, harness.sequence), Class: streamClass, Tier: 1, Fingerprint: harness.sequence, Timeout: 20 * time.Second,
+		}}))
+		harness.step(event.AttemptFirstByte{ID: attempts[i].ID, Number: attempts[i].Number})
+	}
+	return attempts
+}
+
+// silenceDriver steps a dispatcher with streams in flight and plays the shell.
+type silenceDriver struct {
+	*harness
+	attempts []event.Attempt
+	// reachable is whether a new connection to a silent upstream can be opened.
+	reachable bool
+	pending   []event.Input
+	outcomes  []message.Outcome
+	silent    int
+	stops     int
+}
+
+func newSilenceDriver(t *testing.T, upstreams, streams int, retries retrywindow.Settings) *silenceDriver {
+	driver := &silenceDriver{harness: newHarness(t, upstreams, retries)}
+	driver.attempts = driver.beginStreams(streams)
+	return driver
+}
+
+// advance steps the dispatcher once. Stopped attempts end, and silent upstreams are probed.
+func (driver *silenceDriver) advance(inputs ...event.Input) {
+	inputs = append(driver.pending, inputs...)
+	driver.pending = nil
+	for _, output := range driver.step(inputs...) {
+		switch output := output.(type) {
+		case event.Attempt:
+			driver.replaceAttempt(output)
+		case event.StopRun:
+			driver.stops++
+			driver.endAttempt(output.ID)
+		case event.Finish:
+			driver.outcomes = append(driver.outcomes, output.Outcome)
+		case event.UpstreamSilent:
+			driver.silent++
+			driver.pending = append(driver.pending, event.UpstreamProbed{Name: output.Name, Reachable: driver.reachable})
+		}
+	}
+}
+
+func (driver *silenceDriver) replaceAttempt(attempt event.Attempt) {
+	for i := range driver.attempts {
+		if driver.attempts[i].ID == attempt.ID {
+			driver.attempts[i] = attempt
+		}
+	}
+}
+
+func (driver *silenceDriver) endAttempt(id message.RequestID) {
+	for _, attempt := range driver.attempts {
+		if attempt.ID == id {
+			driver.pending = append(driver.pending, event.AttemptEnded{ID: id, Number: attempt.Number, Result: event.Stopped, Delivered: true})
+		}
+	}
+}
+
+// run steps the dispatcher for the given time. The active upstreams send events meanwhile.
+func (driver *silenceDriver) run(span time.Duration, active map[string]bool) {
+	for until := driver.now + span; driver.now < until; driver.now += 20 * time.Millisecond {
+		var inputs []event.Input
+		for _, attempt := range driver.attempts {
+			if active[attempt.Upstream] {
+				inputs = append(inputs, event.AttemptProgressed{ID: attempt.ID, Number: attempt.Number, Events: 1})
+			}
+		}
+		driver.advance(inputs...)
+	}
+}
+
+// TestOwnPauseIsTakenForSilence guards against an entry that was itself paused and takes
+// its upstreams for silent before it has read what they sent meanwhile.
+func TestOwnPauseIsTakenForSilence(t *testing.T) {
+	for _, pause := range []time.Duration{
+		500 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond, 1900 * time.Millisecond, 4 * time.Second,
+	} {
+		driver := newSilenceDriver(t, 3, 12, ampleRetries)
+		driver.run(500*time.Millisecond, nil)
+		driver.now += pause
+		driver.advance()
+		if driver.silent > 0 || driver.stops > 0 {
+			t.Errorf("after an own pause of %v: %d upstreams taken for silent and %d attempts stopped, want none", pause, driver.silent, driver.stops)
+		}
+	}
+}
+
+// TestCutStreamHasNowhereToGo guards against stopping the attempt of a stream that cannot go
+// on elsewhere: all upstreams are silent, or no retry is left.
+func TestCutStreamHasNowhereToGo(t *testing.T) {
+	cases := []struct {
+		name    string
+		retries retrywindow.Settings
+		active  map[string]bool
+	}{
+		{"all are silent", ampleRetries, nil},
+		{"few retries are left", retrywindow.Settings{Ratio: 0.01, Slack: 1, Span: 10 * time.Second}, map[string]bool{"u-1": true, "u-2": true}},
+	}
+	for _, row := range cases {
+		for _, reachable := range []bool{true, false} {
+			driver := newSilenceDriver(t, 3, 30, row.retries)
+			driver.reachable = reachable
+			driver.run(4*time.Second, row.active)
+			if len(driver.outcomes) > 0 {
+				t.Errorf("%s, reachable %v: %d streams ended, the first with %v, want all to go on", row.name, reachable, len(driver.outcomes), driver.outcomes[0])
+			}
+		}
+	}
+}
+
+// TestDarkUpstreamIsLeft guards against streams that stay at an upstream that has gone dark:
+// it sends nothing, and no connection to it can be opened.
+func TestDarkUpstreamIsLeft(t *testing.T) {
+	const leftWithin = 1200 * time.Millisecond
+	driver := newSilenceDriver(t, 3, 30, ampleRetries)
+	driver.run(leftWithin, map[string]bool{"u-1": true, "u-2": true})
+	for _, attempt := range driver.attempts {
+		if attempt.Upstream == "u-0" {
+			t.Fatalf("request %v is at the dark upstream after %v, want it at another", attempt.ID, leftWithin)
+		}
+	}
+}
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -69,6 +69,13 @@
 // that were reported.
 type UpstreamListConfirmed struct{}
 
+// UpstreamProbed reports, after UpstreamSilent, whether a new connection to the upstream
+// could be opened.
+type UpstreamProbed struct {
+	Name      string
+	Reachable bool
+}
+
 // StoreUnreachable reports that the configuration service stopped responding.
 type StoreUnreachable struct{}
 
@@ -308,6 +315,7 @@
 func (UpstreamListRead) input()      {}
 func (UpstreamListConfirmed) input() {}
 func (StoreUnreachable) input()      {}
+func (UpstreamProbed) input()        {}
 func (StoreReachable) input()        {}
 func (PeerDiscovered) input()        {}
 func (CacheReported) input()         {}
