Count only time in which the entry ran as silence of an upstream

What callers saw: streams that end without their rest at an entry that was itself not run for 0.4 to 1.9 s, as between other processes that restart. Cause: the silence of upstreams was the time since their last data, and the first step after such a pause judged it before anything had been read. Only gaps of 2 s and more between two steps were taken for a pause. Change: silence counts watched time; a step that comes later than it was due adds none, and a pause of peers' timeouts is found by the same lateness.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -21,7 +21,7 @@
 	row.events = 1
 	dispatcher.requests.Put(input.ID, row)
 	dispatcher.removeFalseCrashes(now, row.upstream)
-	upstream := dispatcher.upstream(row.upstream).WithSuccess(now)
+	upstream := dispatcher.upstream(row.upstream).WithSuccess(now, dispatcher.watched)
 	upstream.load.PrefillTokens -= row.prefillTokens
 	dispatcher.upstreams.Put(row.upstream, upstream)
 	dispatcher.loadsChanged()
@@ -33,7 +33,7 @@
 		return
 	}
 	dispatcher.removeFalseCrashes(now, row.upstream)
-	dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithActivity(now))
+	dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithActivity(dispatcher.watched))
 	dispatcher.observeProgress(now, row, input.Events)
 	if row.firstByteReceived && now-row.firstByteAt >= crashcause.SurvivalTime {
 		dispatcher.reportSurvival(row)
@@ -100,11 +100,11 @@
 	dispatcher.observeResult(now, row, ended)
 	switch ended.Result {
 	case event.Completed:
-		upstream = upstream.WithSuccess(now)
+		upstream = upstream.WithSuccess(now, dispatcher.watched)
 	case event.ConnectFailed, event.Interrupted:
 		upstream = upstream.WithFailure(now)
 	case event.Declined, event.UpstreamError:
-		upstream = upstream.WithActivity(now)
+		upstream = upstream.WithActivity(dispatcher.watched)
 	case event.Misdirected:
 		dispatcher.membership.MarkAddressReused(now, row.upstream)
 		dispatcher.reportUpstreamChange(now, row.upstream, event.OtherUpstream, true)
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -99,9 +99,13 @@
 	// drainRate is the rate at which prompt tokens leave the queue. The fields draining
 	// and drained are about the shutdown of the entry instead. The map responseTimes has
 	// the average response time by class.
-	drainRate        *drainrate.Rate
-	responseTimes    map[string]time.Duration
-	lastStep         time.Duration
+	drainRate     *drainrate.Rate
+	responseTimes map[string]time.Duration
+	lastStep      time.Duration
+	// stepDue is when the step after the last one was due. Watched is the time in which this
+	// process ran and so would have noticed what upstreams send.
+	stepDue          time.Duration
+	watched          time.Duration
 	heartbeatDue     time.Duration
 	livenessCheckDue time.Duration
 	outputs          []event.Output
@@ -143,9 +147,11 @@
 	// largeFleetIntervalFactor; changes still trigger a heartbeat at once.
 	largeFleet               = 24
 	largeFleetIntervalFactor = 5
-	// maxStepInterval is the longest time from a step until the next one is due. If
-	// that one is late by pauseThreshold or more, this process was paused.
+	// maxStepInterval is the longest time from a step until the next one is due. Time by
+	// which that one is late beyond lateStep does not count as watched, since this process
+	// did not run; if it is pauseThreshold or more, the process was paused.
 	maxStepInterval = time.Second
+	lateStep        = livenessCheckInterval
 	pauseThreshold  = time.Second
 	// No peer's upstream list is pulled before the uptime firstListPullDelay, since the
 	// published one may come first, nor sooner than listPullInterval after another pull.
@@ -192,7 +198,7 @@
 func (dispatcher *Dispatcher) Step(now time.Duration, inputs []event.Input) []event.Output {
 	dispatcher.outputs = nil
 	clear(dispatcher.pools)
-	dispatcher.resetAfterPause(now)
+	dispatcher.observePause(now)
 	for _, input := range inputs {
 		dispatcher.handleInput(now, input)
 	}
@@ -210,6 +216,7 @@
 	dispatcher.becomeReady()
 	dispatcher.reportDrained()
 	dispatcher.lastStep = now
+	dispatcher.stepDue = dispatcher.NextDue()
 	return dispatcher.outputs
 }
 
@@ -279,16 +286,16 @@
 	dispatcher.emit(event.Ready{})
 }
 
-// resetAfterPause resets the timeouts of peers and upstreams after this process was
-// paused: what they sent meanwhile may not have been read yet.
-func (dispatcher *Dispatcher) resetAfterPause(now time.Duration) {
-	if now-dispatcher.lastStep < maxStepInterval+pauseThreshold {
-		return
+// observePause counts the time since the last step as watched unless this step is late: what
+// upstreams sent while this process did not run may not have been read yet. After a long
+// pause the timeouts of peers start anew for the same reason.
+func (dispatcher *Dispatcher) observePause(now time.Duration) {
+	late := now - max(dispatcher.stepDue, dispatcher.lastStep)
+	if late <= lateStep {
+		dispatcher.watched += now - dispatcher.lastStep
 	}
-	dispatcher.mesh.ResetTimeouts(now)
-	for _, name := range dispatcher.upstreams.Keys() {
-		row, _ := dispatcher.upstreams.Get(name)
-		dispatcher.upstreams.Put(name, row.WithActivity(now))
+	if late >= pauseThreshold {
+		dispatcher.mesh.ResetTimeouts(now)
 	}
 }
 
--- a/internal/core/dispatch/loads.go
+++ b/internal/core/dispatch/loads.go
@@ -59,7 +59,7 @@
 func (dispatcher *Dispatcher) addLoad(now time.Duration, row requestRow) {
 	upstream := dispatcher.upstream(row.upstream)
 	if upstream.load.Running == 0 {
-		upstream.busySince = now
+		upstream.busySince = dispatcher.watched
 	}
 	upstream.load.Running++
 	upstream.load.PrefillTokens += row.prefillTokens
--- a/internal/core/dispatch/unresponsive.go
+++ b/internal/core/dispatch/unresponsive.go
@@ -17,18 +17,18 @@
 )
 
 // inactiveFor returns for how long the upstream has had requests in progress and
-// sent nothing.
-func (row upstreamRow) inactiveFor(now time.Duration) time.Duration {
+// sent nothing. Only time in which this process ran counts.
+func (row upstreamRow) inactiveFor(watched time.Duration) time.Duration {
 	if row.load.Running == 0 {
 		return 0
 	}
-	return now - max(row.lastActivity, row.busySince)
+	return watched - max(row.lastActivity, row.busySince)
 }
 
 // unresponsive returns whether the upstream has sent nothing for longer than the
 // pending prefill of all entries accounts for.
-func (dispatcher *Dispatcher) unresponsive(now time.Duration, name string, row upstreamRow) bool {
-	return row.inactiveFor(now) > unresponsiveTimeout+dispatcher.expectedSilence(name)
+func (dispatcher *Dispatcher) unresponsive(name string, row upstreamRow) bool {
+	return row.inactiveFor(dispatcher.watched) > unresponsiveTimeout+dispatcher.expectedSilence(name)
 }
 
 // expectedSilence returns for how long the upstream's pending prefill may keep it silent.
@@ -47,13 +47,13 @@
 	dispatcher.livenessCheckDue = now + livenessCheckInterval
 	for _, name := range dispatcher.upstreams.Keys() {
 		row, _ := dispatcher.upstreams.Get(name)
-		if now < row.avoidUntil || !dispatcher.unresponsive(now, name, row) {
+		if now < row.avoidUntil || !dispatcher.unresponsive(name, row) {
 			continue
 		}
 		dispatcher.upstreams.Put(name, row.WithFailure(now))
 		upstream, _ := dispatcher.membership.Find(name)
 		dispatcher.emit(event.UpstreamSilent{
-			Name: name, Address: upstream.Address, Silence: row.inactiveFor(now), Expected: dispatcher.expectedSilence(name),
+			Name: name, Address: upstream.Address, Silence: row.inactiveFor(dispatcher.watched), Expected: dispatcher.expectedSilence(name),
 			SinceStep: now - dispatcher.lastStep, Running: row.load.Running,
 		})
 		dispatcher.moveRequests(now, name)
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -18,7 +18,7 @@
 type upstreamRow struct {
 	load message.UpstreamLoad
 	// lastActivity is when the upstream last sent anything, busySince when it was
-	// sent a request after having had none in progress.
+	// sent a request after having had none in progress, both in watched time.
 	lastActivity time.Duration
 	busySince    time.Duration
 	// failures counts the failures since the last success.
@@ -36,9 +36,9 @@
 	crashSuspects []crashSuspect
 }
 
-// WithActivity returns the row after the upstream sent anything.
-func (row upstreamRow) WithActivity(now time.Duration) upstreamRow {
-	row.lastActivity = now
+// WithActivity returns the row after the upstream sent anything, at a watched time.
+func (row upstreamRow) WithActivity(watched time.Duration) upstreamRow {
+	row.lastActivity = watched
 	return row
 }
 
@@ -52,10 +52,10 @@
 }
 
 // WithSuccess returns the row after a successful response or its first byte.
-func (row upstreamRow) WithSuccess(now time.Duration) upstreamRow {
+func (row upstreamRow) WithSuccess(now, watched time.Duration) upstreamRow {
 	row.failures = 0
 	row.avoidUntil = now
-	return row.WithActivity(now)
+	return row.WithActivity(watched)
 }
 
 const (
