Stop an attempt for silence only if its request has a place elsewhere

What callers saw: a stream that had begun ended after one event, with and without a planned stop, while its upstreams paused for longer than 0.7 s. Cause: all attempts of repeatable requests at a silent upstream were stopped first, and a retry was sought afterwards; without a budget, an attempt or an upstream that answers there was none, and the stream was aborted. Change: silence steers new work away, and the shell opens a connection to the upstream. A request that waits for its first data leaves a silent upstream, a stream that has begun only one that cannot be reached or that stalls for 2.1 s, and each only when another upstream that is not silent has capacity and the retry has been taken from the budget. Connections to upstreams probe themselves, so that one that nobody acknowledges breaks within 3 s. TestDarkUpstreamIsLeft still holds (1.2 s).

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -82,7 +82,10 @@
 	case event.UpstreamError:
 		row.mayHaveRun = true
 		dispatcher.retryUpstreamError(now, row)
-	case event.Interrupted, event.Stopped:
+	case event.Stopped:
+		row.mayHaveRun = true
+		dispatcher.continueStopped(now, row)
+	case event.Interrupted:
 		row.mayHaveRun = true
 		dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.suspected(now, row), message.UpstreamDown)
 	case event.TimedOut:
@@ -132,19 +135,30 @@
 // available; otherwise it aborts the request with the reason.
 func (dispatcher *Dispatcher) retry(now time.Duration, row requestRow, allowed bool, reason message.Reason) {
 	_, found := dispatcher.choose(now, row)
-	if !allowed || !found || now >= row.deadline || !dispatcher.retryWindow(row.pool).Take(now, dispatcher.mesh.EntryCount(now)) {
+	if !allowed || !found || now >= row.deadline || !dispatcher.takeRetry(now, &row) {
 		dispatcher.abort(now, row, reason)
 		return
 	}
+	row.retryTaken = false
 	dispatcher.place(now, row)
 }
 
+// continueStopped sends on a request whose attempt was stopped to send it elsewhere. If no
+// other upstream is left by now, it goes to one that it left before.
+func (dispatcher *Dispatcher) continueStopped(now time.Duration, row requestRow) {
+	if _, found := dispatcher.choose(now, row); !found {
+		row.tried = nil
+	}
+	dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.suspected(now, row), message.UpstreamDown)
+}
+
 // retryUpstreamError retries a repeatable request after an upstream answered with
 // an error. Otherwise the caller gets the upstream's own response, unless part of
 // another response has already been delivered.
 func (dispatcher *Dispatcher) retryUpstreamError(now time.Duration, row requestRow) {
 	_, found := dispatcher.choose(now, row)
-	if found && row.mayRepeat(now) && dispatcher.retryWindow(row.pool).Take(now, dispatcher.mesh.EntryCount(now)) {
+	if found && row.mayRepeat(now) && dispatcher.takeRetry(now, &row) {
+		row.retryTaken = false
 		dispatcher.place(now, row)
 		return
 	}
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -157,7 +157,7 @@
 	// published one may come first, nor sooner than listPullInterval after another pull.
 	firstListPullDelay = 300 * time.Millisecond
 	listPullInterval   = time.Second
-	// livenessCheckInterval is the time between checks for unresponsive upstreams.
+	// livenessCheckInterval is the time between checks for silent upstreams.
 	livenessCheckInterval = 100 * time.Millisecond
 	// minRetryAfter is the least Retry-After of an entry that does not drain. Up to
 	// as much again is added at random, so that callers do not retry all at once.
@@ -207,7 +207,7 @@
 	dispatcher.expireWaiting(now)
 	dispatcher.checkLimits(now)
 	dispatcher.admit(now)
-	dispatcher.moveFromUnresponsive(now)
+	dispatcher.checkSilence(now)
 	dispatcher.emit(dispatcher.mesh.Dial(now)...)
 	dispatcher.pullPlacements(now)
 	dispatcher.queryCaches(now)
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -47,6 +47,8 @@
 	case event.UpstreamListConfirmed:
 		dispatcher.confirmList(now)
 		dispatcher.adoptListed(now)
+	case event.UpstreamProbed:
+		dispatcher.handleProbe(now, input)
 	case event.CacheReported:
 		dispatcher.handleCacheReport(now, input)
 	case event.StoreUnreachable:
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -65,6 +65,8 @@
 	// once an attempt may have run at an upstream.
 	delivered  bool
 	mayHaveRun bool
+	// retryTaken is true if the next attempt has been taken from the retry budget.
+	retryTaken bool
 	// queued is true if the request waits for capacity, until queueDeadline, and
 	// false if it waits for a usable upstream.
 	queued        bool
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -21,6 +21,8 @@
 	// sent a request after having had none in progress, both in watched time.
 	lastActivity time.Duration
 	busySince    time.Duration
+	// unreachable is true if no connection could be opened since the last activity.
+	unreachable bool
 	// failures counts the failures since the last success.
 	failures int
 	// avoidUntil is the time until which new requests go to other upstreams, if
@@ -39,6 +41,13 @@
 // WithActivity returns the row after the upstream sent anything, at a watched time.
 func (row upstreamRow) WithActivity(watched time.Duration) upstreamRow {
 	row.lastActivity = watched
+	row.unreachable = false
+	return row
+}
+
+// WithUnreachable returns the row after an attempt to open a connection.
+func (row upstreamRow) WithUnreachable(unreachable bool) upstreamRow {
+	row.unreachable = unreachable
 	return row
 }
 
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -319,6 +319,7 @@
 		entry.log(logevent.ConfigRejected).WithError(output.Err).Error()
 	case event.UpstreamSilent:
 		entry.exchange.Drop(output.Address)
+		go entry.probe(output)
 		entry.countBelief(logevent.UpstreamSilent)
 		entry.log(logevent.UpstreamSilent).WithFields(logrus.Fields{
 			"name": output.Name, "silent-ms": output.Silence.Milliseconds(), "expected-ms": output.Expected.Milliseconds(),
@@ -345,6 +346,17 @@
 	}
 }
 
+// probe opens a connection to a silent upstream: whether it succeeds tells an upstream that
+// is gone from one that is paused.
+func (entry *Entry) probe(silent event.UpstreamSilent) {
+	err := entry.exchange.Probe(context.Background(), silent.Address)
+	if err != nil {
+		entry.countBelief(logevent.UpstreamUnreachable)
+		entry.log(logevent.UpstreamUnreachable).WithField("name", silent.Name).WithError(err).Info()
+	}
+	entry.loop.Post(event.UpstreamProbed{Name: silent.Name, Reachable: err == nil})
+}
+
 // sendCommand passes an output to the goroutine of its request, if that still runs.
 func (entry *Entry) sendCommand(id message.RequestID, output event.Output) {
 	if found, ok := entry.findCommands(id); ok {
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -78,6 +78,14 @@
 	ErrNoAnswer = errors.New("the request may have been sent and no response to it was received")
 )
 
+// A connection breaks if keepAliveCount probes in a row are not acknowledged: the first
+// after keepAliveIdle without any data, the others each keepAliveInterval.
+const (
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
 // idleTimeoutMargin is how long before the upstream closes an idle connection we stop
 // reusing it.
 const idleTimeoutMargin = 600 * time.Millisecond
@@ -126,7 +134,15 @@
 		}
 		pooled.close()
 	}
-	dialer := net.Dialer{Timeout: client.settings.DialTimeout}
+	return client.dial(ctx, address)
+}
+
+// dial opens a connection. It breaks once its other end has not acknowledged keep-alive
+// probes, which a process that is only busy or paused does not prevent.
+func (client *Client) dial(ctx context.Context, address string) (*connection, error) {
+	dialer := net.Dialer{Timeout: client.settings.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
@@ -134,6 +150,18 @@
 	return newConnection(conn, client.settings.IdleTimeout), nil
 }
 
+// Probe opens a connection to the address, which the next request there uses. Its error
+// wraps ErrNotConnected.
+func (client *Client) Probe(ctx context.Context, address string) error {
+	opened, err := client.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	opened.usableUntil = time.Now().Add(client.settings.IdleTimeout)
+	client.putIdle(address, opened)
+	return nil
+}
+
 func (client *Client) takeIdle(address string) *connection {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
