Close connections without a request when a process stops

Cause: http.Server.Shutdown waits 5 s for connections on which no byte has arrived, and the listener closes later than 5 s before the limit. What arrives there meanwhile is accepted in the last seconds of the process. Change: such connections are closed 250 ms after the listener.

--- a/internal/node/httpserver/httpserver.go
+++ b/internal/node/httpserver/httpserver.go
@@ -37,6 +37,9 @@
 	// idleTimeout is how long an unused connection stays open.
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
+	// unusedWait is how long a connection without any byte of a request stays open after
+	// Shutdown has begun: its request may be on the way.
+	unusedWait = 250 * time.Millisecond
 )
 
 // Listen opens the host:port address and serves the handler on it in the background. If the
@@ -98,11 +101,25 @@
 }
 
 // Shutdown stops accepting connections and waits for the requests in flight, until the
-// context is done. It neither closes nor waits for WebSocket connections.
+// context is done. It closes idle connections, and after unusedWait those on which nothing
+// has arrived, for which http.Server would wait. It neither closes nor waits for WebSocket
+// connections.
 func (server *Server) Shutdown(ctx context.Context) error {
+	timer := time.AfterFunc(unusedWait, server.closeUnused)
+	defer timer.Stop()
 	return server.server.Shutdown(ctx)
 }
 
+func (server *Server) closeUnused() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for conn, state := range server.states {
+		if state == http.StateNew {
+			_ = conn.Close()
+		}
+	}
+}
+
 // Close closes the listener and all connections without waiting.
 func (server *Server) Close() error {
 	return server.server.Close()
