Refuse late requests that the exit of a stopping process may cut off

What callers saw: a stream whose request had been read after the balancer had let go, because its body came slowly or its connection had been open, began and was cut by the exit. Cause: a draining entry accepts what ends before the exit by twice the average response time of its class; a long stream of a class with short ones, or of one without an average, is cut. Change: what arrives once no more connections are accepted is served only if its deadline is before the exit, and refused as not run at once otherwise: another entry can take it.

--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -8,12 +8,13 @@
 
 // startDrain shortens the wait of the queued requests: what cannot be answered before the
 // process exits is refused while another entry can still take it.
-func (dispatcher *Dispatcher) startDrain(now, exitIn time.Duration) {
+func (dispatcher *Dispatcher) startDrain(now time.Duration, started event.DrainStarted) {
 	dispatcher.draining = true
-	if exitIn <= 0 {
+	if started.ExitIn <= 0 {
 		return
 	}
-	dispatcher.exitAt = now + exitIn
+	dispatcher.exitAt = now + started.ExitIn
+	dispatcher.closesAt = now + started.ClosesIn
 	for _, id := range dispatcher.requests.Keys() {
 		row, _ := dispatcher.requests.Get(id)
 		if !row.queued {
@@ -25,6 +26,17 @@
 	}
 }
 
+// outlivesProcess returns whether the exit would cut off the response to a request of which
+// nothing has been sent yet: probably, or, for one that arrives once no more connections are
+// accepted, possibly. Another entry can take it at once.
+func (dispatcher *Dispatcher) outlivesProcess(now time.Duration, row requestRow) bool {
+	if dispatcher.exitAt == 0 || row.attemptsSent > 0 {
+		return false
+	}
+	arrivedLate := dispatcher.closesAt > 0 && row.arrived >= dispatcher.closesAt
+	return now >= dispatcher.latestStart(row) || arrivedLate && row.deadline > dispatcher.exitAt
+}
+
 // reportDrained emits Drained once the draining entry has no request left.
 func (dispatcher *Dispatcher) reportDrained() {
 	if !dispatcher.draining || dispatcher.drained || dispatcher.requests.Len() > 0 {
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -24,7 +24,7 @@
 	case event.DocumentRead:
 		dispatcher.emitConfig(now, dispatcher.config.Offer(input.Raw))
 	case event.DrainStarted:
-		dispatcher.startDrain(now, input.ExitIn)
+		dispatcher.startDrain(now, input)
 	default:
 		dispatcher.handleFleetInput(now, input)
 	}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -175,7 +175,7 @@
 // or has it wait if no upstream is usable. It aborts a request that would crash the
 // upstream.
 func (dispatcher *Dispatcher) place(now time.Duration, row requestRow) {
-	if dispatcher.exitAt > 0 && row.attemptsSent == 0 && now >= dispatcher.latestStart(row) {
+	if dispatcher.outlivesProcess(now, row) {
 		dispatcher.abort(now, row, message.Draining)
 		return
 	}
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -236,8 +236,10 @@
 	defer cancel()
 	entry.log(logevent.Draining).WithField("in-progress", entry.inProgress()).Info()
 	entry.draining.Store(true)
-	entry.loop.Post(event.DrainStarted{ExitIn: entry.settings.Grace - exitMargin})
-	time.Sleep(min(balancerDrainDelay, entry.settings.Grace-exitMargin))
+	exitIn := entry.settings.Grace - exitMargin
+	closesIn := min(balancerDrainDelay, exitIn)
+	entry.loop.Post(event.DrainStarted{ExitIn: exitIn, ClosesIn: closesIn})
+	time.Sleep(closesIn)
 	if err := callers.Shutdown(ctx); err != nil {
 		connections := callers.Connections()
 		entry.log(logevent.ShutdownCutOff).WithError(err).WithFields(logrus.Fields{
