--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -18,7 +18,7 @@
   grep -rqs rapid.Check "$package" && shrink=(-rapid.shrinktime=1s)
   rm -rf "$copy/tree"
   mkdir "$copy/tree"
-  git ls-files -z cmd internal go.mod go.sum | xargs -0 cp --parents -t "$copy/tree"
+  git ls-files -z cmd internal platform go.mod go.sum | xargs -0 cp --parents -t "$copy/tree"
   sed -i -E "$expression" "$copy/tree/$file"
   if cmp -s "$file" "$copy/tree/$file"; then
     echo "stale    $name: the expression changes nothing in $file"
@@ -105,6 +105,16 @@
   's/stats\.sensitive = stats\.misses\(gap\).*/stats.sensitive = false/' $dispatch TestLongResponsesInBursts
 mutant "drain: queued requests keep their deadline" internal/core/dispatch/queue.go \
   's/if dispatcher\.exitAt > 0 \{/if false {/' $dispatch TestDrainRefusesWhatItCannotFinish
+mutant "silence: attempts are stopped without a place elsewhere" internal/core/dispatch/unresponsive.go \
+  's/if !dispatcher\.hasSoundPlace\(now, row, silent\) \|\| !dispatcher\.takeRetry\(now, &row\) \{/if false {/' $dispatch TestCutStreamHasNowhereToGo
+mutant "silence: an own pause counts" internal/core/dispatch/dispatch.go \
+  's/if late <= lateStep \{/if true {/' $dispatch TestOwnPauseIsTakenForSilence
+mutant "silence: streams that have begun stay at an upstream that is gone" internal/core/dispatch/unresponsive.go \
+  's/ \|\| upstream\.unreachable//' $dispatch TestDarkUpstreamIsLeft
+mutant "stop: late requests are accepted" internal/core/dispatch/drain.go \
+  's/row\.deadline > dispatcher\.exitAt/false/' ./platform TestAnswerIsCutByExit
+mutant "stop: connections without a request stay open" internal/node/httpserver/httpserver.go \
+  's/state == http\.StateNew \{/false \&\& state == http.StateNew {/' ./platform TestUnusedConnectionHoldsUpStop
 mutant "retries: a response delivered in part is requested again" internal/core/dispatch/requests.go \
   's/if row\.delivered && !row\.request\.Class\.Streamed \{/if false {/' $dispatch TestPartlyDeliveredResponse
 mutant "bounds: informational responses without end" internal/node/exchange/response_head.go \
