Serve brief requests while a stopping process finishes earlier ones

What callers saw: refused connections while all entries stop one after the other and each waits for its last streams; since streams that pause are no longer cut, that takes longer. Cause: the listener closed 2.8 s after SIGTERM, whatever else could take the connections. Change: it stays open while requests from before are in flight; later ones are served if their deadline is before the exit, and otherwise refused at once as not run. A deadline before the exit is enough during the whole drain.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -82,10 +82,10 @@
 	cacheQueryDue time.Duration
 	draining      bool
 	drained       bool
-	// exitAt is when the draining process exits, 0 if it waits for all work, closesAt when
-	// it accepts no more connections.
-	exitAt   time.Duration
-	closesAt time.Duration
+	// exitAt is when the draining process exits, 0 if it waits for all work, releasedAt when
+	// the load balancer sends requests elsewhere.
+	exitAt     time.Duration
+	releasedAt time.Duration
 	// upstreamsChanged and capacityFreed record that, since waiting requests were
 	// last examined, upstreams changed or one may have capacity again.
 	upstreamsChanged bool
--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -14,7 +14,7 @@
 		return
 	}
 	dispatcher.exitAt = now + started.ExitIn
-	dispatcher.closesAt = now + started.ClosesIn
+	dispatcher.releasedAt = now + started.ReleasedIn
 	for _, id := range dispatcher.requests.Keys() {
 		row, _ := dispatcher.requests.Get(id)
 		if !row.queued {
@@ -27,14 +27,13 @@
 }
 
 // outlivesProcess returns whether the exit would cut off the response to a request of which
-// nothing has been sent yet: probably, or, for one that arrives once no more connections are
-// accepted, possibly. Another entry can take it at once.
+// nothing has been sent yet: probably, or, for one that arrives once the load balancer sends
+// requests elsewhere, possibly. Another entry can take it at once.
 func (dispatcher *Dispatcher) outlivesProcess(now time.Duration, row requestRow) bool {
-	if dispatcher.exitAt == 0 || row.attemptsSent > 0 {
+	if dispatcher.exitAt == 0 || row.attemptsSent > 0 || row.deadline <= dispatcher.exitAt {
 		return false
 	}
-	arrivedLate := dispatcher.closesAt > 0 && row.arrived >= dispatcher.closesAt
-	return now >= dispatcher.latestStart(row) || arrivedLate && row.deadline > dispatcher.exitAt
+	return row.arrived >= dispatcher.releasedAt || now >= dispatcher.latestStart(row)
 }
 
 // reportDrained emits Drained once the draining entry has no request left.
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -69,9 +69,9 @@
 type DrainStarted struct {
 	// ExitIn is the time left until the process exits, 0 if it waits for all work.
 	ExitIn time.Duration
-	// ClosesIn is the time left until the process accepts no more connections. The requests
-	// that it reads later come on connections that were open.
-	ClosesIn time.Duration
+	// ReleasedIn is the time left until the load balancer sends no more requests, if another
+	// process can take them.
+	ReleasedIn time.Duration
 }
 
 // Submitted hands a caller's request to the entry's core.
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -47,6 +47,10 @@
 	storeUnreachable atomic.Bool
 	// reading is the number of requests of which the body is being read.
 	reading atomic.Int64
+	// released is set once the load balancer of a stopping entry sends requests elsewhere,
+	// earlier counts the requests in flight that arrived before.
+	released atomic.Bool
+	earlier  atomic.Int64
 	// acceptedAt is when the active document was accepted, in Unix nanoseconds.
 	acceptedAt atomic.Int64
 	sequence   atomic.Uint64
@@ -121,6 +125,10 @@
 	// after this process reports not ready: it stops after two failed probes, which
 	// are one second apart.
 	balancerDrainDelay = 2800 * time.Millisecond
+	// earlierPoll is the time between two checks whether earlier requests are in flight, and
+	// closeMargin the time for the last responses before the drain ends.
+	earlierPoll = 20 * time.Millisecond
+	closeMargin = 300 * time.Millisecond
 	// maxLinesPerSecond bounds the log lines on requests that completed at the first
 	// attempt.
 	maxLinesPerSecond = 200
@@ -228,18 +236,21 @@
 	entry.log(logevent.ServerFailed).WithError(err).Error()
 }
 
-// drain serves new requests until the load balancer has stopped sending them, then
-// closes the callers' listener and idle connections and waits for the requests in
-// flight. A request accepted after that could not finish within the grace period.
+// drain serves new requests until the load balancer has stopped sending them, and then, as
+// long as earlier ones are in flight, those that certainly end before the exit: while other
+// entries stop too, there may be none to take them. Then it closes the callers' listener
+// and idle connections.
 func (entry *Entry) drain(callers *httpserver.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), entry.settings.Grace-exitMargin)
 	defer cancel()
 	entry.log(logevent.Draining).WithField("in-progress", entry.inProgress()).Info()
 	entry.draining.Store(true)
 	exitIn := entry.settings.Grace - exitMargin
-	closesIn := min(balancerDrainDelay, exitIn)
-	entry.loop.Post(event.DrainStarted{ExitIn: exitIn, ClosesIn: closesIn})
-	time.Sleep(closesIn)
+	releasedIn := min(balancerDrainDelay, exitIn)
+	entry.loop.Post(event.DrainStarted{ExitIn: exitIn, ReleasedIn: releasedIn})
+	time.Sleep(releasedIn)
+	entry.released.Store(true)
+	entry.awaitEarlier(exitIn - releasedIn - closeMargin)
 	if err := callers.Shutdown(ctx); err != nil {
 		connections := callers.Connections()
 		entry.log(logevent.ShutdownCutOff).WithError(err).WithFields(logrus.Fields{
@@ -250,6 +261,14 @@
 	entry.log(logevent.Stopped).Info()
 }
 
+// awaitEarlier waits for the requests that arrived before the load balancer sent them
+// elsewhere, at most for the given time.
+func (entry *Entry) awaitEarlier(limit time.Duration) {
+	for waited := time.Duration(0); waited < limit && entry.earlier.Load() > 0; waited += earlierPoll {
+		time.Sleep(earlierPoll)
+	}
+}
+
 func (entry *Entry) inProgress() int {
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -78,6 +78,10 @@
 // serve handles one request of a caller up to its final response.
 func (entry *Entry) serve(writer http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
+	if !entry.released.Load() {
+		entry.earlier.Add(1)
+		defer entry.earlier.Add(-1)
+	}
 	if entry.draining.Load() || hasChunkedBody(request) {
 		writer.Header().Set("Connection", "close")
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -112,7 +112,7 @@
 mutant "silence: streams that have begun stay at an upstream that is gone" internal/core/dispatch/unresponsive.go \
   's/ \|\| upstream\.unreachable//' $dispatch TestDarkUpstreamIsLeft
 mutant "stop: late requests are accepted" internal/core/dispatch/drain.go \
-  's/row\.deadline > dispatcher\.exitAt/false/' ./platform TestAnswerIsCutByExit
+  's/return row\.arrived >= dispatcher\.releasedAt \|\| /return /' ./platform TestAnswerIsCutByExit
 mutant "stop: connections without a request stay open" internal/node/httpserver/httpserver.go \
   's/state == http\.StateNew \{/false \&\& state == http.StateNew {/' ./platform TestUnusedConnectionHoldsUpStop
 mutant "retries: a response delivered in part is requested again" internal/core/dispatch/requests.go \
