Let a broken stream go on only with events that continue it

Callers found other text in the middle of their stream, or a stream that ended as if it were complete, after its upstream had broken off: the next one answered with status 200 and a JSON error, a page, an event of type error, an event without a number or the head of an error, or with no event at all. Cause: the second response was forwarded as the first one is, comments and anything without data included; each response that ended in order ended the stream. Change: once the response to the caller has begun, a further one must have its media type, nothing is forwarded before an event with a higher number, an error event or one without a comparable number counts as an error of the upstream, and so does a response without a further event. The request then goes to a third upstream, or the stream is truncated. A stream whose upstream broke off between its last event and its end is now truncated too, if the next upstream answers with no event.

--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -108,6 +108,8 @@
 		return event.TimedOut
 	case errors.Is(context.Cause(ctx), errStopped):
 		return event.Stopped
+	case errors.Is(err, errNotContinued):
+		return event.UpstreamError
 	}
 	return event.Interrupted
 }
@@ -166,6 +168,8 @@
 		return event.Declined, nil
 	case !info.Signed && answer.StatusCode < http.StatusBadRequest:
 		return event.Interrupted, errUnsigned
+	case inflight.started && answer.StatusCode == http.StatusOK && !inflight.hasTypeOfStream(answer):
+		return event.UpstreamError, errNotContinued
 	case inflight.resolved.Class.Streamed && answer.StatusCode == http.StatusOK:
 		err := inflight.relay(attempt, answer)
 		complete = err == nil
--- a/internal/node/direct/relay.go
+++ b/internal/node/direct/relay.go
@@ -24,22 +24,13 @@
 // relay forwards events as they arrive. The header is sent with the first event, so
 // that the request can be retried at another upstream until then; for a stream without
 // events it is sent at the end. A stream that ends with its connection before any event
-// is not complete: the upstream may have crashed.
+// is not complete: the upstream may have crashed. Once the response has begun, nothing is
+// forwarded before an event that goes on behind the last one.
 func (inflight *inflight) relay(attempt event.Attempt, answer *exchange.Answer) error {
 	reader := eventstream.New(answer.Body)
 	progress := progress{loop: inflight.entry.loop, attempt: attempt}
-	for {
-		data, err := reader.Next()
-		if errors.Is(err, io.EOF) && !inflight.started && !answer.Framed() {
-			return errNoEvents
-		}
-		if errors.Is(err, io.EOF) {
-			inflight.startResponse(answer)
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+	data, err := inflight.firstEvent(reader)
+	for ; err == nil; data, err = reader.Next() {
 		if !eventstream.HasData(data) {
 			err = inflight.forwardComment(data)
 		} else {
@@ -50,6 +41,14 @@
 			return err
 		}
 	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if !inflight.started && !answer.Framed() {
+		return errNoEvents
+	}
+	inflight.startResponse(answer)
+	return nil
 }
 
 // progress reports the progress of a stream to the dispatcher.
--- a/internal/node/eventstream/eventstream.go
+++ b/internal/node/eventstream/eventstream.go
@@ -81,8 +81,19 @@
 
 // ID returns the value of the event's id field, and false if it has none.
 func ID(data []byte) (string, bool) {
+	return field(data, "id:")
+}
+
+// Type returns the value of the event's event field, "" if it has none.
+func Type(data []byte) string {
+	value, _ := field(data, "event:")
+	return value
+}
+
+// field returns the value of the event's first field with the prefix.
+func field(data []byte, prefix string) (string, bool) {
 	for line := range bytes.Lines(data) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		if value, ok := bytes.CutPrefix(line, []byte(prefix)); ok {
 			return string(bytes.TrimSpace(value)), true
 		}
 	}
