Reset the connection of a truncated response to an HTTP/1.0 caller

Callers of HTTP/1.0 found a stream that had broken off complete: they get neither a length nor chunks, so their response ends with its connection, and that was closed in order. Change: it is reset. Result: TestBrokenStreamToOldCaller failed before (no error behind the second event) and passes now, five times in a row.

--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -308,10 +308,27 @@
 	inflight.record(finish, status)
 	if finish.Outcome == message.Incomplete {
 		// Abort the connection, or the truncated response would look complete.
+		inflight.resetUnframed()
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// resetUnframed resets the connection to a caller of HTTP/1.0: its response has no chunks,
+// and an orderly close would be its end.
+func (inflight *inflight) resetUnframed() {
+	if inflight.request.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(inflight.writer).Hijack()
+	if err != nil {
+		return
+	}
+	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // writeFinal writes the response if runAttempt has not done so, and returns its status
 // code.
 func (inflight *inflight) writeFinal(finish event.Finish) int {
