Send a request again to an address only on a new connection

Callers were told not-run for requests that an upstream ran (a hold then ran again where a third upstream was left): an upstream that had started anew was listed under two names, refused a request under the former one, got it again under the other on the same connection, and wrote the refusal once more while it ran it. Cause: a response is told from earlier ones by the caller's ID of the request, which all attempts share. Change: an attempt at an address that has had the request before opens a new connection.

--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -76,7 +77,9 @@
 	defer timer.Stop()
 	inflight.commands.setCancel(cancel)
 	defer inflight.commands.setCancel(nil)
-	answer, err := inflight.entry.exchange.Do(ctx, inflight.upstreamRequest(ctx, attempt))
+	request := inflight.upstreamRequest(ctx, attempt)
+	inflight.addresses = append(inflight.addresses, attempt.Address)
+	answer, err := inflight.entry.exchange.Do(ctx, request)
 	if err != nil {
 		ended.Result = failureResult(ctx, err)
 		ended.Delivered = inflight.started
@@ -123,6 +126,8 @@
 		Target:  inflight.request.RequestURI,
 		Host:    inflight.request.Host,
 		Body:    inflight.body,
+		// The refusal of an earlier attempt bears the same ID.
+		Fresh: slices.Contains(inflight.addresses, attempt.Address),
 		Header: func() (http.Header, error) {
 			left := attempt.Deadline - inflight.entry.loop.Uptime()
 			if left < minTimeLeft {
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -284,6 +284,8 @@
 	writer   http.ResponseWriter
 	arrived  time.Time
 	commands *commands
+	// addresses are those of the attempts so far.
+	addresses []string
 	// buffered is the latest error response of an upstream, sent if no attempt succeeds.
 	buffered *bufferedResponse
 	// started is set once the response to the caller has begun, with the status code status.
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -44,6 +44,9 @@
 	Target  string
 	Host    string
 	Body    []byte
+	// Fresh requires a new connection, on which no response to an earlier request can
+	// arrive.
+	Fresh bool
 	// Header returns the header without Host and Content-Length. It is called once a
 	// connection is open, right before the request is written, and again if that
 	// connection turns out to be closed. Its error is returned with ErrNotSent.
@@ -105,7 +108,7 @@
 		}
 	}()
 	for {
-		conn, err := client.connect(ctx, request.Address)
+		conn, err := client.connect(ctx, request)
 		if err != nil {
 			return nil, err
 		}
@@ -123,9 +126,9 @@
 }
 
 // connect returns an idle connection that is still usable, or a new one.
-func (client *Client) connect(ctx context.Context, address string) (*connection, error) {
-	for {
-		pooled := client.takeIdle(address)
+func (client *Client) connect(ctx context.Context, request Request) (*connection, error) {
+	for !request.Fresh {
+		pooled := client.takeIdle(request.Address)
 		if pooled == nil {
 			break
 		}
@@ -134,7 +137,7 @@
 		}
 		pooled.close()
 	}
-	return client.dial(ctx, address)
+	return client.dial(ctx, request.Address)
 }
 
 // dial opens a connection. It breaks once its other end has not acknowledged keep-alive
