Stop sending to upstreams that announce their leaving in a response

Cause: the field Server-Leaving in an upstream's responses was not read. The entry sent requests there until the published list or a peer said so, and passed the field on to callers.

Change: the head of each response but a 421 is read. The announcement belongs to the process that the upstream's row named when the request was sent, by name and start time. It holds against rows, lists of a new era and outages of the store until a process with a later start time has the name. Peers are told with the departures, for 10 s and as long as the list calls the upstream ready. Attempts that were placed there and of which nothing was sent are placed again. Callers no longer get the field. The log has upstream-announced-leaving with source and age; the metric beliefs counts it.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -71,7 +71,7 @@
 		dispatcher.reportSurvival(row)
 		dispatcher.recordResponseTime(now, row)
 		dispatcher.finish(now, row, message.Complete, message.NoReason)
-	case event.ConnectFailed:
+	case event.ConnectFailed, event.Withdrawn:
 		row.attemptsSent--
 		dispatcher.place(now, row)
 	case event.NotSent:
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -17,6 +17,8 @@
 		dispatcher.handleProgress(now, input)
 	case event.LimitReported:
 		dispatcher.handleLimit(now, input)
+	case event.LeavingAnnounced:
+		dispatcher.handleLeavingAnnounced(now, input)
 	case event.AttemptEnded:
 		dispatcher.handleAttemptEnd(now, input)
 	case event.CallerDisconnected:
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -62,7 +62,7 @@
 	dispatcher.handlePeerLimits(now, heartbeat.Limits)
 	dispatcher.mergeOrigins(now, heartbeat.Origins)
 	for _, departure := range heartbeat.Departures {
-		dispatcher.reportUpstreamChange(now, departure.Upstream, event.PeerEntry, dispatcher.membership.ApplyDeparture(now, departure))
+		dispatcher.handlePeerDeparture(now, departure)
 	}
 	dispatcher.emit(dispatcher.config.ObserveVersion(now, received.Peer, received.Link, heartbeat.ConfigVersion)...)
 	if !dispatcher.listKnown && now >= dispatcher.listPullDue {
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -227,7 +227,7 @@
 	dispatcher.requests.Put(row.request.ID, row)
 	dispatcher.emit(event.Attempt{
 		ID: row.request.ID, Number: row.attemptNumber, Upstream: upstream.Name, Address: upstream.Address, Domain: upstream.Domain,
-		Tier: row.request.Tier, Deadline: row.deadline, Load: chosen.load,
+		Started: upstream.Started, Tier: row.request.Tier, Deadline: row.deadline, Load: chosen.load,
 	})
 }
 
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -124,6 +124,13 @@
 	PerSecond float64
 }
 
+// LeavingAnnounced reports that the head of a response says that its upstream leaves: the
+// process that started at Started, in Unix milliseconds.
+type LeavingAnnounced struct {
+	Upstream string
+	Started  int64
+}
+
 // AttemptEnded reports how an attempt ended.
 type AttemptEnded struct {
 	ID     message.RequestID
@@ -162,12 +169,15 @@
 	NotSent
 	// Abandoned means that the caller disconnected: the request may have run.
 	Abandoned
+	// Withdrawn means that the upstream was found not to take requests any more before
+	// anything was sent.
+	Withdrawn
 )
 
 // attemptResultNames are the results in logs, in the order of the constants. Some
 // differ from the constants' names: tools that read logs match the names here.
 var attemptResultNames = [...]string{
-	"", "whole", "unreached", "declined", "mistaken", "erred", "broken", "stopped", "expired", "withheld", "abandoned",
+	"", "whole", "unreached", "declined", "mistaken", "erred", "broken", "stopped", "expired", "withheld", "abandoned", "withdrawn",
 }
 
 // String returns the kebab-case name used in logs.
@@ -186,7 +196,9 @@
 	Upstream string
 	Address  string
 	Domain   string
-	Tier     int
+	// Started is the start time of the upstream's process as published.
+	Started int64
+	Tier    int
 	// Deadline is the request's deadline as uptime of the process.
 	Deadline time.Duration
 	// Load is the load on which the choice was made, for the log.
@@ -233,6 +245,8 @@
 	Version uint64
 	// Era is that of the revision in Version.
 	Era uint64
+	// Age is how long ago the upstream announced a departure; see AnnouncedLeaving.
+	Age time.Duration
 }
 
 // UpstreamSilent reports that an upstream has requests in flight and sends nothing. Idle
@@ -267,10 +281,12 @@
 	PeerEntry
 	// OtherUpstream is another upstream that now has the address.
 	OtherUpstream
+	// OwnResponses are the heads of responses to the entry's own requests.
+	OwnResponses
 )
 
 // sourceNames are the sources in logs, in the order of the constants.
-var sourceNames = [...]string{"own-requests", "published-row", "row-removed", "whole-list", "other-entry", "other-upstream"}
+var sourceNames = [...]string{"own-requests", "published-row", "row-removed", "whole-list", "other-entry", "other-upstream", "own-responses"}
 
 // String returns the kebab-case name used in logs.
 func (source Source) String() string {
@@ -308,6 +324,9 @@
 	Limited
 	// LimitEnded means that the upstream no longer names a rate limit.
 	LimitEnded
+	// AnnouncedLeaving means that the upstream announced in a response that it leaves.
+	// Version is the revision of its row.
+	AnnouncedLeaving
 )
 
 func (UpstreamUpdated) input()       {}
@@ -321,6 +340,7 @@
 func (CacheReported) input()         {}
 func (AttemptFirstByte) input()      {}
 func (LimitReported) input()         {}
+func (LeavingAnnounced) input()      {}
 func (AttemptEnded) input()          {}
 func (AttemptProgressed) input()     {}
 
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -45,6 +45,10 @@
 	// this one at adoptAt, unless there is an update before. Without one adoptAt is 0.
 	doubted event.Upstream
 	adoptAt time.Duration
+	// announced is set if the upstream announced in a response that it leaves, and
+	// listedReady while the list calls it ready nevertheless; see announced.go.
+	announced   announcement
+	listedReady bool
 }
 
 const (
@@ -91,9 +95,9 @@
 	if known && !position(upstream).After(current.revision) {
 		return false
 	}
-	changed := !known || current.upstream.Address != upstream.Address || current.leaving != upstream.Leaving || current.upstream.Started != upstream.Started
-	next := newRow(now, upstream)
-	if known && current.leaving && upstream.Leaving {
+	next := current.WithPublished(now, upstream)
+	changed := !known || current.upstream.Address != upstream.Address || current.leaving != next.leaving || current.upstream.Started != upstream.Started
+	if known && current.leaving && next.leaving {
 		next.unusableFrom = min(current.unusableFrom, now)
 		next.departedAt = current.departedAt
 	}
@@ -111,7 +115,7 @@
 		return false
 	}
 	if current.leaving {
-		membership.rows.Put(name, current.WithUpdateAt(at))
+		membership.rows.Put(name, current.WithRemoval(now, at))
 		return false
 	}
 	restored := at.Era > current.revision.Era
@@ -147,6 +151,9 @@
 // ApplyDeparture applies a peer's notice that an upstream is leaving or removed,
 // and returns whether it took effect. A notice about an earlier process does not.
 func (membership *Membership) ApplyDeparture(now time.Duration, departure message.Departure) bool {
+	if departure.Announced {
+		return membership.Announce(now, departure.Upstream, departure.Started, now-departure.Age)
+	}
 	current, known := membership.rows.Get(departure.Upstream)
 	departed := current.leaving && now >= current.unusableFrom
 	if !known || departed || departure.Started < current.upstream.Started {
@@ -229,10 +236,8 @@
 		current, _ := membership.rows.Get(name)
 		switch {
 		case !current.leaving || now < current.unusableFrom:
-		case now-current.departedAt < departureRetention || current.adoptAt > 0:
-			departures = append(departures, message.Departure{
-				Upstream: name, Era: current.departure.Era, Revision: current.departure.Number, Started: current.upstream.Started,
-			})
+		case current.isReported(now):
+			departures = append(departures, current.departureNotice(now))
 		case now-current.departedAt > rowRetention:
 			membership.rows.Delete(name)
 		}
--- a/internal/core/membership/restored.go
+++ b/internal/core/membership/restored.go
@@ -62,8 +62,8 @@
 }
 
 // AdoptListed replaces rows by those that contradicted them and are still listed after the
-// expiry: the upstreams run. It returns their names. All changes of the list up to now must
-// have been applied.
+// expiry: the upstreams run. It returns the names of those that are usable. All changes of
+// the list up to now must have been applied.
 func (membership *Membership) AdoptListed(now time.Duration) []string {
 	var adopted []string
 	for _, name := range membership.rows.Keys() {
@@ -71,8 +71,10 @@
 		if current.adoptAt == 0 || now < current.adoptAt {
 			continue
 		}
-		membership.rows.Put(name, newRow(now, current.doubted))
-		adopted = append(adopted, name)
+		membership.rows.Put(name, current.WithPublished(now, current.doubted))
+		if membership.Usable(now, name) {
+			adopted = append(adopted, name)
+		}
 	}
 	return adopted
 }
--- a/internal/node/dialect/dialect.go
+++ b/internal/node/dialect/dialect.go
@@ -73,6 +73,8 @@
 	Misdirected bool
 	// Signed means that the response carries the upstream's signature.
 	Signed bool
+	// Leaving means that the upstream says that it leaves: it is to get no more requests.
+	Leaving bool
 	// Limit is the rate of requests that the upstream takes from all entries together.
 	Limit RateLimit
 }
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -103,6 +103,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled), errors.Is(err, errCallerDisconnected):
 		return event.Abandoned
+	case errors.Is(err, errWithdrawn):
+		return event.Withdrawn
 	case unsent && errors.Is(context.Cause(ctx), errDeadline), errors.Is(err, errDeadline):
 		return event.NotSent
 	case unsent:
@@ -129,6 +131,9 @@
 		// The refusal of an earlier attempt bears the same ID.
 		Fresh: slices.Contains(inflight.addresses, attempt.Address),
 		Header: func() (http.Header, error) {
+			if inflight.commands.isWithdrawn() {
+				return nil, errWithdrawn
+			}
 			left := attempt.Deadline - inflight.entry.loop.Uptime()
 			if left < minTimeLeft {
 				return nil, errDeadline
@@ -164,6 +169,7 @@
 	defer func() { answer.Close(complete) }()
 	info := inflight.entry.settings.Dialect.ParseResponse(answer.Response)
 	inflight.entry.reportLimit(attempt.Upstream, info.Limit)
+	inflight.entry.reportLeaving(attempt, info.Leaving)
 	switch {
 	case info.NotRun:
 		complete = answer.Drain()
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -294,7 +294,7 @@
 func (entry *Entry) perform(output event.Output) {
 	switch output := output.(type) {
 	case event.Attempt:
-		entry.sendCommand(output.ID, output)
+		entry.startAttempt(output)
 	case event.Finish:
 		entry.sendCommand(output.ID, output)
 	case event.StopRun:
@@ -324,6 +324,7 @@
 	event.Suspected: logevent.RequestSuspected, event.SuspicionCleared: logevent.RequestCleared,
 	event.Blamed: logevent.CrashCauseFound, event.BlameCleared: logevent.CrashCauseCleared,
 	event.Limited: logevent.UpstreamLimited, event.LimitEnded: logevent.UpstreamUnlimited,
+	event.AnnouncedLeaving: logevent.UpstreamAnnouncedLeaving,
 }
 
 // handleStateChange handles the outputs that report a change of the entry's state: log
@@ -351,12 +352,18 @@
 		case event.Limited, event.LimitEnded, event.Leaving:
 			entry.setLimited(output.Name, output.State == event.Limited)
 		}
+		if output.State == event.Leaving {
+			entry.withdrawAttempts(output.Name)
+		}
 		entry.countBelief(stateEvents[output.State])
 		line := entry.log(stateEvents[output.State]).WithFields(logrus.Fields{
 			"name": output.Name, "source": output.Source.String(), "version": output.Version,
 		})
-		if output.State == event.Usable || output.State == event.Leaving {
+		switch output.State {
+		case event.Usable, event.Leaving:
 			line = line.WithField("era", output.Era)
+		case event.AnnouncedLeaving:
+			line = line.WithFields(logrus.Fields{"era": output.Era, "age-ms": output.Age.Milliseconds()})
 		}
 		line.Info()
 	case event.Ready:
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -29,6 +29,10 @@
 	cancel context.CancelCauseFunc
 	// stopped is set if stop was called since the last attempt ended.
 	stopped bool
+	// upstream is that of the latest attempt, withdrawn is set if it is not to be sent any
+	// more.
+	upstream  string
+	withdrawn bool
 }
 
 // maxCommands bounds the outputs queued for a request's goroutine. The dispatcher
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -36,21 +36,23 @@
 	RequestSuspected    Name = "request-suspected"
 	RequestCleared      Name = "request-cleared"
 	UpstreamLimited     Name = "upstream-limited"
-	UpstreamUnlimited   Name = "upstream-unlimited"
-	CrashCauseFound     Name = "crash-cause-found"
-	CrashCauseCleared   Name = "crash-cause-cleared"
-	LinkOpened          Name = "link-opened"
-	LinkClosed          Name = "link-closed"
-	LinkRefused         Name = "link-refused"
-	DialFailed          Name = "dial-failed"
-	RequestRefused      Name = "request-refused"
-	FieldIgnored        Name = "request-field-ignored"
-	AttemptFailed       Name = "attempt-failed"
-	AttemptEnded        Name = "attempt-ended"
-	RequestFinished     Name = "request-finished"
-	LinesLeftOut        Name = "lines-left-out"
-	LinesDropped        Name = "log-lines-dropped"
-	Span                Name = "span"
+	// UpstreamAnnouncedLeaving comes with an UpstreamLeft.
+	UpstreamAnnouncedLeaving Name = "upstream-announced-leaving"
+	UpstreamUnlimited        Name = "upstream-unlimited"
+	CrashCauseFound          Name = "crash-cause-found"
+	CrashCauseCleared        Name = "crash-cause-cleared"
+	LinkOpened               Name = "link-opened"
+	LinkClosed               Name = "link-closed"
+	LinkRefused              Name = "link-refused"
+	DialFailed               Name = "dial-failed"
+	RequestRefused           Name = "request-refused"
+	FieldIgnored             Name = "request-field-ignored"
+	AttemptFailed            Name = "attempt-failed"
+	AttemptEnded             Name = "attempt-ended"
+	RequestFinished          Name = "request-finished"
+	LinesLeftOut             Name = "lines-left-out"
+	LinesDropped             Name = "log-lines-dropped"
+	Span                     Name = "span"
 )
 
 // Event describes one event for operators.
@@ -94,6 +96,10 @@
 		"name, silent-ms, expected-ms, since-step-ms, running",
 	},
 	{UpstreamUnreachable, "no connection to a silent upstream could be opened; its requests go elsewhere, those that have begun too", "name, error"},
+	{
+		UpstreamAnnouncedLeaving, "a response of an upstream said that it leaves, age-ms ago; source is own-responses, or other-entry if it was one to another entry",
+		"name, source, version, era, age-ms",
+	},
 	{UpstreamLimited, "an upstream named a limit of the requests that it takes from all entries; version is the limit per 1000 s", "name, source, version"},
 	{UpstreamUnlimited, "an upstream no longer names a limit", "name, source, version"},
 	{CacheReported, "an engine was queried for its cached prompt parts because no other entry could list them; parts is their number", "name, parts, error"},
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -130,6 +130,10 @@
 	Revision uint64 `cbor:"2,keyasint"`
 	Era      uint64 `cbor:"3,keyasint,omitempty"`
 	Started  int64  `cbor:"4,keyasint,omitempty"`
+	// Announced is set if the upstream announced it in a response, Age ago: it then holds
+	// for the process with that start time whatever its row says.
+	Announced bool          `cbor:"5,keyasint,omitempty"`
+	Age       time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // PromptPart is a run of tokens that is the same in all prompts that contain a
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -117,6 +117,12 @@
   's/state == http\.StateNew \{/false \&\& state == http.StateNew {/' ./platform TestUnusedConnectionHoldsUpStop
 mutant "retries: a response delivered in part is requested again" internal/core/dispatch/requests.go \
   's/if row\.delivered && !row\.request\.Class\.Streamed \{/if false {/' $dispatch TestPartlyDeliveredResponse
+mutant "leaving: an announcement ends with the next row" internal/core/membership/announced.go \
+  's/return announcement\.made && .*/return false/' $dispatch TestAnnouncedLeavingIsForgotten
+mutant "leaving: an announcement is about all later processes" internal/core/membership/announced.go \
+  's/return announcement\.made && .*/return announcement.made/' $dispatch TestAnnouncedLeavingIsForgotten
+mutant "leaving: an attempt that was placed is sent" internal/node/direct/departures.go \
+  's/commands\.withdrawn = commands\.withdrawn \|\|/commands.withdrawn = false \&\&/' ./internal/node/direct TestWithdrawnAttemptIsSent
 mutant "bounds: informational responses without end" internal/node/exchange/response_head.go \
   's/range maxInformational \+ 1/range 1 << 40/' ./internal/node/exchange TestEndlessHead
 mutant "bounds: a comment counts as an event" internal/node/eventstream/eventstream.go \
