Show that SIGHUP cuts the answers of entries and sidecars

TestHangupCutsAnswers sends SIGHUP to an entry and to a sidecar during a stream and a call: both processes end by the signal, and both callers get an end of file.

--- a/cmd/endivepost/main_test.go
+++ b/cmd/endivepost/main_test.go
@@ -35,6 +35,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	runCases(t, files...)
+}
+
+// TestHangupCutsAnswers guards against an entry or a sidecar that SIGHUP ends at once.
+func TestHangupCutsAnswers(t *testing.T) {
+	runCases(t, "testdata/hangup/stop.txtar")
+}
+
+func runCases(t *testing.T, files ...string) {
+	t.Helper()
 	testscript.Run(t, testscript.Params{
 		Files: files,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
