Keep entries and sidecars running on SIGHUP

Callers of an entry with sidecars saw their streams and calls end with the connection when the entry or the sidecar got SIGHUP. Cause: only platform-entry handled the signal; for the other two verbs the default of the language's runtime ends the process at once. Change: both log it and go on. Result: TestHangupCutsAnswers failed before (two of two callers with an end of file) and passes; the cases of cmd/endivepost pass with the race detector.

--- a/internal/command/verbs/entry.go
+++ b/internal/command/verbs/entry.go
@@ -99,6 +99,7 @@
 	}
 	observe := telemetry.New(ctx.App.ErrWriter, settings.Name, ctx.Float64("trace-share"))
 	defer observe.Close()
+	defer ignoreHangups(ctx.Context, observe.Log, settings.Name)()
 	return entry.New(settings, observe).Run(ctx.Context)
 }
 
--- a/internal/command/verbs/sidecar.go
+++ b/internal/command/verbs/sidecar.go
@@ -43,6 +43,7 @@
 	}
 	observe := telemetry.New(ctx.App.ErrWriter, settings.Name, ctx.Float64("trace-share"))
 	defer observe.Close()
+	defer ignoreHangups(ctx.Context, observe.Log, settings.Name)()
 	return sidecar.New(settings, observe).Run(ctx.Context)
 }
 
