Let a stopping entry wait for callers that still send or read

Change: what is left of the drain timeout, and at least 5 s; the log says which connections are cut off.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -54,7 +54,7 @@
 // operators, Platform is the base URL of the configuration service. Secret is shared with
 // the sidecars. Boot must be random: it makes request IDs unique. ListInterval is the time
 // between reads of the list of VMs, DrainTimeout the longest wait for requests in flight
-// when the entry stops. The other settings are those of router.Settings.
+// and for their callers when the entry stops. The other settings are those of router.Settings.
 type Settings struct {
 	Name              string
 	Domain            string
@@ -104,8 +104,9 @@
 	pollInterval = 8 * time.Second
 	// pollRetryDelay is an extra pause after a failed read of the document.
 	pollRetryDelay = time.Second
-	// shutdownGrace is how long HTTP responses may still be written after the drain.
-	shutdownGrace = 5 * time.Second
+	// minShutdownTimeout is the time that the HTTP server has to shut down after a drain that
+	// took the whole drain timeout.
+	minShutdownTimeout = 5 * time.Second
 	// flushTimeout bounds the writing of the queued messages of each link at exit.
 	flushTimeout = time.Second
 )
@@ -175,21 +176,32 @@
 }
 
 func (entry *Entry) drain(server *httpserver.Server) {
+	deadline := time.Now().Add(entry.settings.DrainTimeout)
 	entry.log("draining").Info()
 	entry.draining.Store(true)
 	entry.loop.Post(event.DrainStarted{})
 	select {
 	case <-entry.drained:
-	case <-time.After(entry.settings.DrainTimeout):
+	case <-time.After(time.Until(deadline)):
 		entry.log("drain-timeout").Warn()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	entry.shutDown(server, max(time.Until(deadline), minShutdownTimeout))
+	entry.closeLinks()
+	entry.log("stopped").Info()
+}
+
+// shutDown waits until no connection of a caller is in use, at most for the timeout. The
+// router may have drained before: it knows neither the requests that are still arriving nor
+// how much of an answer its caller has read.
+func (entry *Entry) shutDown(server *httpserver.Server, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
-		entry.log("shutdown-cut-off").WithError(err).Warn()
+		connections := server.Connections()
+		entry.log("shutdown-cut-off").WithFields(logrus.Fields{
+			"connections-new": connections.New, "connections-active": connections.Active, "in-flight": entry.inFlight.Load(),
+		}).WithError(err).Warn()
 	}
-	entry.closeLinks()
-	entry.log("stopped").Info()
 }
 
 func (entry *Entry) closeLinks() {
