--- a/internal/core/simulation/network_test.go
+++ b/internal/core/simulation/network_test.go
@@ -20,28 +20,42 @@
 	return nil
 }
 
-// dial opens a connection unless the sidecar is dead or partitioned from the entry.
+// dialTimeout is how long a dial waits for the handshake of a paused sidecar.
+const dialTimeout = time.Second
+
+// dial opens a connection unless the sidecar is dead or partitioned from the entry. A paused
+// sidecar does not answer the handshake until its pause ends.
 func (simulation *simulation) dial(entry *process, wanted event.Dial) {
 	simulation.dials++
 	sidecar := simulation.sidecarNamed(wanted.Peer)
 	boot := entry.boot
 	simulation.after(simulation.jitter(5), func() {
-		if !entry.alive || entry.boot != boot {
-			return
-		}
-		if !sidecar.alive || simulation.partitioned[linkKey(entry.name, sidecar.name)] {
-			simulation.deliver(entry, event.LinkClosed{Peer: wanted.Peer, Link: wanted.Link})
+		if remaining := sidecar.pausedUntil - simulation.now; sidecar.alive && remaining > 0 {
+			simulation.after(min(remaining, dialTimeout), func() { simulation.handshake(entry, boot, wanted) })
 			return
 		}
-		simulation.sequence++
-		peer := fmt.Sprintf("%s/%x", entry.name, entry.boot)
-		opened := &connection{entry: entry, sidecar: sidecar, peer: peer, entryLink: wanted.Link, sidecarLink: simulation.sequence, open: true}
-		simulation.connections[linkKey(entry.name, sidecar.name)] = opened
-		simulation.deliver(sidecar, event.LinkOpened{Peer: peer, Link: opened.sidecarLink, Boot: entry.boot})
-		simulation.deliver(entry, event.LinkOpened{Peer: sidecar.name, Link: opened.entryLink, Boot: sidecar.boot})
+		simulation.handshake(entry, boot, wanted)
 	})
 }
 
+func (simulation *simulation) handshake(entry *process, boot uint64, wanted event.Dial) {
+	sidecar := simulation.sidecarNamed(wanted.Peer)
+	if !entry.alive || entry.boot != boot {
+		return
+	}
+	paused := simulation.now < sidecar.pausedUntil
+	if !sidecar.alive || paused || simulation.partitioned[linkKey(entry.name, sidecar.name)] {
+		simulation.deliver(entry, event.LinkClosed{Peer: wanted.Peer, Link: wanted.Link})
+		return
+	}
+	simulation.sequence++
+	peer := fmt.Sprintf("%s/%x", entry.name, entry.boot)
+	opened := &connection{entry: entry, sidecar: sidecar, peer: peer, entryLink: wanted.Link, sidecarLink: simulation.sequence, open: true}
+	simulation.connections[linkKey(entry.name, sidecar.name)] = opened
+	simulation.deliver(sidecar, event.LinkOpened{Peer: peer, Link: opened.sidecarLink, Boot: entry.boot})
+	simulation.deliver(entry, event.LinkOpened{Peer: sidecar.name, Link: opened.entryLink, Boot: sidecar.boot})
+}
+
 // openConnections returns the open connections in a deterministic order.
 func (simulation *simulation) openConnections() []*connection {
 	var connections []*connection
