Spend no last attempt on an upstream that is only silent

Cause: a stream that goes on at another upstream counted as not begun until that one sent its first event, so it left again after 0.7 s; and a move spends an attempt, so that a refusal by the next upstream left none. Change: what the caller has in part counts as begun; a request leaves an upstream that can be reached only if it has a further attempt in case the next declines, and one that has begun only after a stall of 5 s instead of 2.1 s. An upstream that cannot be reached is left as before.

--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -115,8 +115,14 @@
 }
 
 func (row requestRow) attemptsLeft() bool {
+	return row.attemptsLeftAfter(0)
+}
+
+// attemptsLeftAfter returns whether an attempt is left after the given number of further
+// ones.
+func (row requestRow) attemptsLeftAfter(further int) bool {
 	limit := row.request.Class.MaxAttempts
-	return limit == 0 || row.attemptsSent < limit
+	return limit == 0 || row.attemptsSent+further < limit
 }
 
 // submit accepts or rejects a new request. Its deadline follows from the shorter of the
--- a/internal/core/dispatch/silence_test.go
+++ b/internal/core/dispatch/silence_test.go
@@ -145,3 +145,35 @@
 		}
 	}
 }
+
+// TestBrokenStreamIsMovedWhileItWaits guards against moving a stream that goes on at another
+// upstream as if its caller had nothing of it yet, and against spending the last attempt of a
+// request because its upstream, which can be reached, is silent.
+func TestBrokenStreamIsMovedWhileItWaits(t *testing.T) {
+	cases := []struct {
+		name     string
+		attempts int
+		begun    bool
+	}{
+		{"a stream that broke off once", 4, true},
+		{"a request with one attempt left", 2, false},
+	}
+	for _, row := range cases {
+		driver := &silenceDriver{harness: newHarness(t, 4, ampleRetries), reachable: true}
+		class := streamClass
+		class.MaxAttempts = row.attempts
+		driver.sequence++
+		first := onlyOutput[event.Attempt](t, driver.step(event.Submitted{Request: event.Request{
+			ID: message.NewRequestID(1, driver.sequence), Class: class, Tier: 1, Fingerprint: 7, Timeout: 20 * time.Second,
+		}}))
+		driver.attempts = []event.Attempt{first}
+		if row.begun {
+			driver.advance(event.AttemptFirstByte{ID: first.ID, Number: first.Number})
+			driver.advance(event.AttemptEnded{ID: first.ID, Number: first.Number, Result: event.Interrupted, Delivered: true})
+		}
+		driver.run(2*time.Second, nil)
+		if driver.silent == 0 || driver.stops > 0 {
+			t.Errorf("%s: %d upstreams taken for silent and %d attempts stopped, want 1 or more and none", row.name, driver.silent, driver.stops)
+		}
+	}
+}
--- a/internal/core/dispatch/unresponsive.go
+++ b/internal/core/dispatch/unresponsive.go
@@ -14,8 +14,8 @@
 	// all, in addition to the time for the pending prefill, before new work goes elsewhere.
 	silenceTimeout = 700 * time.Millisecond
 	// stallTimeout is how long an upstream that still accepts connections may be silent
-	// before streams that have begun there go on elsewhere: longer than engines pause.
-	stallTimeout = 3 * silenceTimeout
+	// before streams that have begun go on elsewhere: longer than engines pause.
+	stallTimeout = 5 * time.Second
 	// prefillTimeFactor multiplies the predicted prefill time, since the error of
 	// the prediction grows with the length of the prompts.
 	prefillTimeFactor = 1.5
@@ -115,15 +115,20 @@
 	return leaving
 }
 
-// leavesSilent returns whether the request should leave its silent upstream. A stream that
-// has begun does so only if the upstream cannot be reached or stalls: it would pause
-// for another prefill.
+// leavesSilent returns whether the request should leave its silent upstream. If that can be
+// reached, silence is no evidence that it is gone: the request must have another attempt
+// left in case the next upstream declines, and a stream that has begun leaves only an
+// upstream that stalls.
 func (dispatcher *Dispatcher) leavesSilent(now time.Duration, row requestRow) bool {
 	if !row.mayRepeat(now) || dispatcher.suspected(now, row) {
 		return false
 	}
 	upstream := dispatcher.upstream(row.upstream)
-	return !row.firstByteReceived || upstream.unreachable || dispatcher.silence(row.upstream, upstream) > stallTimeout
+	if upstream.unreachable {
+		return true
+	}
+	begun := row.delivered || row.firstByteReceived
+	return row.attemptsLeftAfter(1) && (!begun || dispatcher.silence(row.upstream, upstream) > stallTimeout)
 }
 
 // hasSoundPlace returns whether an upstream that is neither silent nor avoided has capacity
