Find silent upstreams although all steps are late, and use them again

An entry whose steps all come 0.1 s late never counted any time as watched, so that a dark upstream stayed unnoticed: now the time by which a step is late is left out, and the rest counts. And an upstream that was avoided for its silence stayed avoided until its time was over although it sent again, while others got its work: now data ends such an avoidance. Result: TestDarkUpstreamIsNotFoundBySlowProcess and TestUpstreamIsAvoidedAfterItsPause failed before and pass now.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -149,9 +149,9 @@
 	// largeFleetIntervalFactor; changes still trigger a heartbeat at once.
 	largeFleet               = 24
 	largeFleetIntervalFactor = 5
-	// maxStepInterval is the longest time from a step until the next one is due. Time by
-	// which that one is late beyond lateStep does not count as watched, since this process
-	// did not run; if it is pauseThreshold or more, the process was paused.
+	// maxStepInterval is the longest time from a step until the next one is due. If that one
+	// is later than lateStep, the time by which it is late does not count as watched, since
+	// this process did not run; if it is pauseThreshold or more, the process was paused.
 	maxStepInterval = time.Second
 	lateStep        = livenessCheckInterval
 	pauseThreshold  = time.Second
@@ -288,14 +288,16 @@
 	dispatcher.emit(event.Ready{})
 }
 
-// observePause counts the time since the last step as watched unless this step is late: what
-// upstreams sent while this process did not run may not have been read yet. After a long
-// pause the timeouts of peers start anew for the same reason.
+// observePause counts the time since the last step as watched, without that by which this
+// step is late: what upstreams sent while this process did not run may not have been read
+// yet. After a long pause the timeouts of peers start anew for the same reason.
 func (dispatcher *Dispatcher) observePause(now time.Duration) {
 	late := now - max(dispatcher.stepDue, dispatcher.lastStep)
-	if late <= lateStep {
-		dispatcher.watched += now - dispatcher.lastStep
+	watched := now - dispatcher.lastStep
+	if late > lateStep {
+		watched -= late
 	}
+	dispatcher.watched += watched
 	if late >= pauseThreshold {
 		dispatcher.mesh.ResetTimeouts(now)
 	}
--- a/internal/core/dispatch/silence_test.go
+++ b/internal/core/dispatch/silence_test.go
@@ -84,14 +84,19 @@
 // run steps the dispatcher for the given time. The active upstreams send events meanwhile.
 func (driver *silenceDriver) run(span time.Duration, active map[string]bool) {
 	for until := driver.now + span; driver.now < until; driver.now += 20 * time.Millisecond {
-		var inputs []event.Input
-		for _, attempt := range driver.attempts {
-			if active[attempt.Upstream] {
-				inputs = append(inputs, event.AttemptProgressed{ID: attempt.ID, Number: attempt.Number, Events: 1})
-			}
+		driver.advance(driver.progress(active)...)
+	}
+}
+
+// progress returns an event of each stream at the active upstreams.
+func (driver *silenceDriver) progress(active map[string]bool) []event.Input {
+	var inputs []event.Input
+	for _, attempt := range driver.attempts {
+		if active[attempt.Upstream] {
+			inputs = append(inputs, event.AttemptProgressed{ID: attempt.ID, Number: attempt.Number, Events: 1})
 		}
-		driver.advance(inputs...)
 	}
+	return inputs
 }
 
 // TestOwnPauseIsTakenForSilence guards against an entry that was itself paused and takes
@@ -177,3 +182,33 @@
 		}
 	}
 }
+
+// TestDarkUpstreamIsNotFoundBySlowProcess guards against an entry all of whose steps are late
+// and that so never counts any time as silence.
+func TestDarkUpstreamIsNotFoundBySlowProcess(t *testing.T) {
+	driver := newSilenceDriver(t, 3, 30, ampleRetries)
+	for range 15 {
+		driver.now += 210 * time.Millisecond
+		driver.advance(driver.progress(map[string]bool{"u-1": true, "u-2": true})...)
+	}
+	if driver.silent == 0 {
+		t.Error("the dark upstream was not found within 15 steps of 0.21 s, want it to be found")
+	}
+}
+
+// TestUpstreamIsAvoidedAfterItsPause guards against keeping new requests from an upstream that
+// was silent and sends again.
+func TestUpstreamIsAvoidedAfterItsPause(t *testing.T) {
+	all := map[string]bool{"u-0": true, "u-1": true, "u-2": true}
+	driver := newSilenceDriver(t, 3, 12, ampleRetries)
+	driver.reachable = true
+	driver.run(500*time.Millisecond, all)
+	driver.run(2*time.Second, map[string]bool{"u-1": true, "u-2": true})
+	driver.run(100*time.Millisecond, all)
+	for fingerprint := range uint64(30) {
+		if onlyOutput[event.Attempt](t, driver.submit(idempotentClass, 1000+fingerprint)).Upstream == "u-0" {
+			return
+		}
+	}
+	t.Error("none of 30 requests went to the upstream that sends again, want some")
+}
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -21,7 +21,9 @@
 	// sent a request after having had none in progress, both in watched time.
 	lastActivity time.Duration
 	busySince    time.Duration
-	// unreachable is true if no connection could be opened since the last activity.
+	// silent is true if the upstream is avoided since it was found silent, unreachable if no
+	// connection could be opened since.
+	silent      bool
 	unreachable bool
 	// failures counts the failures since the last success.
 	failures int
@@ -38,10 +40,23 @@
 	crashSuspects []crashSuspect
 }
 
-// WithActivity returns the row after the upstream sent anything, at a watched time.
+// WithActivity returns the row after the upstream sent anything, at a watched time. It is no
+// longer avoided for its silence.
 func (row upstreamRow) WithActivity(watched time.Duration) upstreamRow {
 	row.lastActivity = watched
 	row.unreachable = false
+	if row.silent {
+		row.silent = false
+		row.failures = 0
+		row.avoidUntil = 0
+	}
+	return row
+}
+
+// WithSilence returns the row after the upstream was found silent.
+func (row upstreamRow) WithSilence(now time.Duration) upstreamRow {
+	row = row.WithFailure(now)
+	row.silent = true
 	return row
 }
 
@@ -51,10 +66,10 @@
 	return row
 }
 
-// WithFailure returns the row after a failed attempt, or after the upstream was found
-// unresponsive. Each consecutive failure doubles the time for which the upstream is
-// avoided.
+// WithFailure returns the row after a failed attempt. Each consecutive failure doubles the
+// time for which the upstream is avoided.
 func (row upstreamRow) WithFailure(now time.Duration) upstreamRow {
+	row.silent = false
 	row.failures++
 	row.avoidUntil = now + initialAvoidTime<<min(row.failures-1, maxAvoidDoublings)
 	return row
