Stop the attempt that is meant and not the next one

What could be seen: a sound attempt cancelled at its start, its upstream marked as failed. Cause: StopRun named the request alone; one that crossed the end of its attempt stopped the next, at another upstream. Found in review; not seen end to end. Change: StopRun has the number of the attempt.

--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -331,5 +331,5 @@
 	}
 	row.state = cancelled
 	dispatcher.requests.Put(id, row)
-	dispatcher.emit(event.StopRun{ID: id})
+	dispatcher.emit(event.StopRun{ID: id, Number: row.attemptNumber})
 }
--- a/internal/core/dispatch/unresponsive.go
+++ b/internal/core/dispatch/unresponsive.go
@@ -97,7 +97,7 @@
 		}
 		row.state = stopping
 		dispatcher.requests.Put(row.request.ID, row)
-		dispatcher.emit(event.StopRun{ID: row.request.ID})
+		dispatcher.emit(event.StopRun{ID: row.request.ID, Number: row.attemptNumber})
 	}
 }
 
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -187,8 +187,12 @@
 	NotAfter   time.Duration
 }
 
-// StopRun asks the shell to cancel a run.
-type StopRun struct{ ID message.RequestID }
+// StopRun asks the shell to cancel a run. Without sidecars Number is that of the attempt:
+// one that has ended meanwhile must not stop the next.
+type StopRun struct {
+	ID     message.RequestID
+	Number int
+}
 
 // DocumentAccepted reports the class document that is now active.
 type DocumentAccepted struct{ Document document.Document }
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -299,7 +299,7 @@
 		entry.sendCommand(output.ID, output)
 	case event.StopRun:
 		if found, ok := entry.findCommands(output.ID); ok {
-			found.stop()
+			found.stop(output.Number)
 		}
 	case event.QueryCache:
 		go entry.queryCache(output)
