Take bytes of an answer and a slow caller for signs of life

What callers saw: an answer that is no stream and too long to be buffered ended without its rest after 0.8 s although its upstream sent all the while; and the run of a stream whose caller reads slowly was broken off and begun again. Cause: only events of streams and the end of an attempt counted as something that an upstream sent, and that the caller has a part was known once the attempt had ended.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -43,6 +43,16 @@
 	dispatcher.requests.Put(input.ID, row)
 }
 
+func (dispatcher *Dispatcher) handleActive(input event.AttemptActive) {
+	row, ok := dispatcher.currentAttempt(input.ID, input.Number)
+	if !ok {
+		return
+	}
+	dispatcher.upstreams.Put(row.upstream, dispatcher.upstream(row.upstream).WithActivity(dispatcher.watched))
+	row.delivered = row.delivered || input.Begun
+	dispatcher.requests.Put(input.ID, row)
+}
+
 // currentAttempt returns the row of the request if the numbered attempt is its
 // latest and still in progress. Inputs of earlier attempts are ignored.
 func (dispatcher *Dispatcher) currentAttempt(id message.RequestID, number int) (requestRow, bool) {
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -15,6 +15,8 @@
 		dispatcher.handleFirstByte(now, input)
 	case event.AttemptProgressed:
 		dispatcher.handleProgress(now, input)
+	case event.AttemptActive:
+		dispatcher.handleActive(input)
 	case event.LimitReported:
 		dispatcher.handleLimit(now, input)
 	case event.LeavingAnnounced:
--- a/internal/core/dispatch/silence_test.go
+++ b/internal/core/dispatch/silence_test.go
@@ -39,8 +39,8 @@
 	stops     int
 }
 
-func newSilenceDriver(t *testing.T, upstreams, streams int, retries retrywindow.Settings) *silenceDriver {
-	driver := &silenceDriver{harness: newHarness(t, upstreams, retries)}
+func newSilenceDriver(t *testing.T, streams int, retries retrywindow.Settings) *silenceDriver {
+	driver := &silenceDriver{harness: newHarness(t, 3, retries)}
 	driver.attempts = driver.beginStreams(streams)
 	return driver
 }
@@ -105,7 +105,7 @@
 	for _, pause := range []time.Duration{
 		500 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond, 1900 * time.Millisecond, 4 * time.Second,
 	} {
-		driver := newSilenceDriver(t, 3, 12, ampleRetries)
+		driver := newSilenceDriver(t, 12, ampleRetries)
 		driver.run(500*time.Millisecond, nil)
 		driver.now += pause
 		driver.advance()
@@ -128,7 +128,7 @@
 	}
 	for _, row := range cases {
 		for _, reachable := range []bool{true, false} {
-			driver := newSilenceDriver(t, 3, 30, row.retries)
+			driver := newSilenceDriver(t, 30, row.retries)
 			driver.reachable = reachable
 			driver.run(4*time.Second, row.active)
 			if len(driver.outcomes) > 0 {
@@ -142,7 +142,7 @@
 // it sends nothing, and no connection to it can be opened.
 func TestDarkUpstreamIsLeft(t *testing.T) {
 	const leftWithin = 1200 * time.Millisecond
-	driver := newSilenceDriver(t, 3, 30, ampleRetries)
+	driver := newSilenceDriver(t, 30, ampleRetries)
 	driver.run(leftWithin, map[string]bool{"u-1": true, "u-2": true})
 	for _, attempt := range driver.attempts {
 		if attempt.Upstream == "u-0" {
@@ -186,7 +186,7 @@
 // TestDarkUpstreamIsNotFoundBySlowProcess guards against an entry all of whose steps are late
 // and that so never counts any time as silence.
 func TestDarkUpstreamIsNotFoundBySlowProcess(t *testing.T) {
-	driver := newSilenceDriver(t, 3, 30, ampleRetries)
+	driver := newSilenceDriver(t, 30, ampleRetries)
 	for range 15 {
 		driver.now += 210 * time.Millisecond
 		driver.advance(driver.progress(map[string]bool{"u-1": true, "u-2": true})...)
@@ -200,7 +200,7 @@
 // was silent and sends again.
 func TestUpstreamIsAvoidedAfterItsPause(t *testing.T) {
 	all := map[string]bool{"u-0": true, "u-1": true, "u-2": true}
-	driver := newSilenceDriver(t, 3, 12, ampleRetries)
+	driver := newSilenceDriver(t, 12, ampleRetries)
 	driver.reachable = true
 	driver.run(500*time.Millisecond, all)
 	driver.run(2*time.Second, map[string]bool{"u-1": true, "u-2": true})
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -115,6 +115,15 @@
 	Events int
 }
 
+// AttemptActive reports a sign of life of an attempt other than its first data and progress:
+// bytes of a response that is no stream, or data that waits for a slow caller. Begun means
+// that the caller is about to get a part of the response.
+type AttemptActive struct {
+	ID     message.RequestID
+	Number int
+	Begun  bool
+}
+
 // LimitReported reports what the head of a response says of its upstream's rate limit:
 // PerSecond is the number of requests per second that the upstream takes from all entries
 // together, if Limited is true.
@@ -339,6 +348,7 @@
 func (PeerDiscovered) input()        {}
 func (CacheReported) input()         {}
 func (AttemptFirstByte) input()      {}
+func (AttemptActive) input()         {}
 func (LimitReported) input()         {}
 func (LeavingAnnounced) input()      {}
 func (AttemptEnded) input()          {}
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -75,6 +75,7 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(left+timeoutMargin, func() { cancel(errDeadline) })
 	defer timer.Stop()
+	inflight.activity = &activity{loop: inflight.entry.loop, attempt: attempt}
 	inflight.commands.begin(attempt.Number, cancel)
 	defer inflight.commands.end()
 	request := inflight.upstreamRequest(ctx, attempt)
@@ -186,6 +187,7 @@
 		complete = err == nil
 		return event.Completed, err
 	}
+	answer.Body = activeBody{ReadCloser: answer.Body, activity: inflight.activity}
 	buffered, err := readResponse(answer, maxBufferedBytes)
 	isError := answer.StatusCode >= http.StatusInternalServerError
 	if errors.Is(err, errTooLarge) && !isError && !inflight.started {
--- a/internal/node/direct/relay.go
+++ b/internal/node/direct/relay.go
@@ -103,6 +103,7 @@
 
 // writeFlushed sends data to the caller at once.
 func (inflight *inflight) writeFlushed(data []byte) error {
+	defer inflight.activity.duringWrite()()
 	if _, err := (callerWriter{inflight.writer}).Write(data); err != nil {
 		return err
 	}
@@ -128,10 +129,11 @@
 	if answer.ContentLength >= 0 {
 		inflight.writer.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
+	inflight.activity.post(true)
 	inflight.startResponse(answer)
 	rest := io.LimitReader(answer.Body, maxResponseBytes+1-int64(len(first.body)))
 	body := io.MultiReader(bytes.NewReader(first.body), rest)
-	count, err := io.Copy(callerWriter{inflight.writer}, body)
+	count, err := io.Copy(activeWriter{callerWriter{inflight.writer}, inflight.activity}, body)
 	if err == nil && count > maxResponseBytes {
 		err = errTooLarge
 	}
@@ -153,6 +155,18 @@
 	inflight.writer.WriteHeader(answer.StatusCode)
 }
 
+// activeWriter reports that the attempt goes on while a write to the caller takes long.
+type activeWriter struct {
+	callerWriter
+	activity *activity
+}
+
+// Write implements io.Writer.
+func (writer activeWriter) Write(data []byte) (int, error) {
+	defer writer.activity.duringWrite()()
+	return writer.callerWriter.Write(data)
+}
+
 // callerWriter writes to the caller. Its errors wrap errCallerDisconnected.
 type callerWriter struct{ writer io.Writer }
 
--- a/internal/node/direct/serving.go
+++ b/internal/node/direct/serving.go
@@ -293,6 +293,8 @@
 	writer   http.ResponseWriter
 	arrived  time.Time
 	commands *commands
+	// activity reports that the attempt in progress goes on.
+	activity *activity
 	// addresses are those of the attempts so far.
 	addresses []string
 	// buffered is the latest error response of an upstream, sent if no attempt succeeds.
