Leave a silent upstream only if it cannot be reached or stalls

Faults of the moves away from silent upstreams, found in review. A request that waited for its first data left after 0.7 s although the upstream could be reached, so that a slow answer began anew and missed its deadline. A stream that had left was lost if the only other upstream turned it away. All requests at a silent engine were stopped for the same free place, and a full engine counted as a place for a stream that had begun. A connection that was opened as a probe went into the pool that had just been emptied, and keep-alive probes broke runs after 3 s that a short cut leaves whole. Change: silence alone steers new work away; a request leaves an upstream to which no connection can be opened, or one that stalls for 5 s if it has an attempt to spare; requests of a pass count against the places of the next; the way back is open if nobody else takes the request; probes are closed, and a connection breaks after 6 s without an acknowledgement.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"endivepost/internal/core/crashcause"
@@ -75,6 +76,7 @@
 	}
 	row = row.WithTried(row.upstream)
 	dispatcher.updateHealth(now, row, ended)
+	row = dispatcher.withWayBack(now, row)
 	switch ended.Result {
 	case event.Completed:
 		dispatcher.clearSuspicion(now, row)
@@ -92,10 +94,7 @@
 	case event.UpstreamError:
 		row.mayHaveRun = true
 		dispatcher.retryUpstreamError(now, row)
-	case event.Stopped:
-		row.mayHaveRun = true
-		dispatcher.continueStopped(now, row)
-	case event.Interrupted:
+	case event.Interrupted, event.Stopped:
 		row.mayHaveRun = true
 		dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.suspected(now, row), message.UpstreamDown)
 	case event.TimedOut:
@@ -153,13 +152,19 @@
 	dispatcher.place(now, row)
 }
 
-// continueStopped sends on a request whose attempt was stopped to send it elsewhere. If no
-// other upstream is left by now, it goes to one that it left before.
-func (dispatcher *Dispatcher) continueStopped(now time.Duration, row requestRow) {
-	if _, found := dispatcher.choose(now, row); !found {
-		row.tried = nil
+// withWayBack returns the row with the upstream that the request left because it was silent
+// as one to try again, if no other is left: it may be sound.
+func (dispatcher *Dispatcher) withWayBack(now time.Duration, row requestRow) requestRow {
+	if row.left == "" {
+		return row
+	}
+	if _, found := dispatcher.choose(now, row); found {
+		return row
 	}
-	dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.suspected(now, row), message.UpstreamDown)
+	left := row.left
+	row.tried = slices.DeleteFunc(slices.Clone(row.tried), func(name string) bool { return name == left })
+	row.left = ""
+	return row
 }
 
 // retryUpstreamError retries a repeatable request after an upstream answered with
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -65,6 +65,9 @@
 	// once an attempt may have run at an upstream.
 	delivered  bool
 	mayHaveRun bool
+	// left is the upstream that the request left because it was silent, "" if none or if it
+	// went back.
+	left string
 	// retryTaken is true if the next attempt has been taken from the retry budget.
 	retryTaken bool
 	// queued is true if the request waits for capacity, until queueDeadline, and
--- a/internal/core/dispatch/silence_test.go
+++ b/internal/core/dispatch/silence_test.go
@@ -1,11 +1,13 @@
 package dispatch_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"endivepost/internal/config/document"
 	"endivepost/internal/core/event"
+	"endivepost/internal/data/revision"
 	"endivepost/internal/policy/retrywindow"
 	"endivepost/internal/wire/message"
 )
@@ -161,6 +163,7 @@
 		begun    bool
 	}{
 		{"a stream that broke off once", 4, true},
+		{"a request that waits", 4, false},
 		{"a request with one attempt left", 2, false},
 	}
 	for _, row := range cases {
@@ -212,3 +215,64 @@
 	}
 	t.Error("none of 30 requests went to the upstream that sends again, want some")
 }
+
+// TestMovedStreamIsTurnedAway guards against losing a stream that left an upstream that
+// stalls, if the only other one does not take it.
+func TestMovedStreamIsTurnedAway(t *testing.T) {
+	for _, result := range []event.AttemptResult{event.Declined, event.ConnectFailed, event.UpstreamError, event.Misdirected} {
+		driver := newSilenceDriver(t, 6, ampleRetries)
+		driver.reachable = true
+		driver.step(event.UpstreamRemoved{Name: "u-2", Revision: revision.New(0, 2)})
+		driver.run(6*time.Second, map[string]bool{"u-1": true, "u-2": true})
+		moved := 0
+		for _, attempt := range driver.attempts {
+			if attempt.Number > 1 {
+				moved++
+				driver.advance(event.AttemptEnded{ID: attempt.ID, Number: attempt.Number, Result: result, Status: 503, Delivered: true})
+			}
+		}
+		driver.run(100*time.Millisecond, nil)
+		if moved == 0 || len(driver.outcomes) > 0 {
+			t.Errorf("%v: %d streams were moved and %d ended, want some to be moved and none to end", result, moved, len(driver.outcomes))
+		}
+	}
+}
+
+// TestRequestsAreStoppedForOnePlace guards against stopping the attempts of all requests at a
+// silent engine for the same free place at another.
+func TestRequestsAreStoppedForOnePlace(t *testing.T) {
+	const batch = 8
+	driver := &silenceDriver{harness: newHarness(t, 1, ampleRetries), reachable: true}
+	raw, err := json.Marshal(document.Document{
+		Version: 2, SelfRegistration: true, Classes: []document.Class{idempotentClass, nonIdempotentClass},
+		Pools: []document.Pool{{Name: "pool", Engine: document.Engine{Batch: batch, CacheTokens: 1 << 20}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	onlyOutput[event.DocumentAccepted](t, driver.step(event.DocumentRead{Raw: raw}))
+	class := streamClass
+	class.FirstToken = document.Duration(5 * time.Second)
+	submit := func() event.Attempt {
+		driver.sequence++
+		return onlyOutput[event.Attempt](t, driver.step(event.Submitted{Request: event.Request{
+			ID: message.NewRequestID(1, driver.sequence), Class: class, Tier: 1, Fingerprint: driver.sequence, Timeout: 10 * time.Second,
+			Prompt: event.Prompt{Tokens: 10, MaxOutputTokens: 10},
+		}}))
+	}
+	for range batch {
+		driver.attempts = append(driver.attempts, submit())
+	}
+	driver.step(event.UpstreamUpdated{Upstream: event.Upstream{Name: "u-1", Pool: "pool", Address: "u-1", Domain: "a", Revision: 2}})
+	for range batch - 1 {
+		attempt := submit()
+		driver.attempts = append(driver.attempts, attempt)
+		driver.step(event.AttemptFirstByte{ID: attempt.ID, Number: attempt.Number})
+	}
+	for driver.stops == 0 && driver.now < 2*time.Minute {
+		driver.run(20*time.Millisecond, map[string]bool{"u-1": true})
+	}
+	if driver.stops != 1 {
+		t.Errorf("%d attempts were stopped for one free place, want 1", driver.stops)
+	}
+}
--- a/internal/core/dispatch/unresponsive.go
+++ b/internal/core/dispatch/unresponsive.go
@@ -14,7 +14,7 @@
 	// all, in addition to the time for the pending prefill, before new work goes elsewhere.
 	silenceTimeout = 700 * time.Millisecond
 	// stallTimeout is how long an upstream that still accepts connections may be silent
-	// before streams that have begun go on elsewhere: longer than engines pause.
+	// before its requests go on elsewhere: longer than engines pause.
 	stallTimeout = 5 * time.Second
 	// prefillTimeFactor multiplies the predicted prefill time, since the error of
 	// the prediction grows with the length of the prompts.
@@ -92,13 +92,17 @@
 		return
 	}
 	for _, row := range dispatcher.requestsLeaving(now, silent) {
-		if !dispatcher.hasSoundPlace(now, row, silent) || !dispatcher.takeRetry(now, &row) {
+		place, found := dispatcher.soundPlace(now, row, silent)
+		if !found || !dispatcher.takeRetry(now, &row) {
 			continue
 		}
+		dispatcher.expectLoad(row, place)
 		row.state = stopping
+		row.left = row.upstream
 		dispatcher.requests.Put(row.request.ID, row)
 		dispatcher.emit(event.StopRun{ID: row.request.ID, Number: row.attemptNumber})
 	}
+	dispatcher.totalLoads = nil
 }
 
 // requestsLeaving returns the requests that should leave silent upstreams, higher tiers
@@ -116,28 +120,42 @@
 }
 
 // leavesSilent returns whether the request should leave its silent upstream. If that can be
-// reached, silence is no evidence that it is gone: the request must have another attempt
-// left in case the next upstream declines, and a stream that has begun leaves only an
-// upstream that stalls.
+// reached, silence is no evidence that it is gone: the request leaves it only if it stalls,
+// and must have another attempt left in case the next upstream declines.
 func (dispatcher *Dispatcher) leavesSilent(now time.Duration, row requestRow) bool {
 	if !row.mayRepeat(now) || dispatcher.suspected(now, row) {
 		return false
 	}
 	upstream := dispatcher.upstream(row.upstream)
-	if upstream.unreachable {
-		return true
-	}
-	begun := row.delivered || row.firstByteReceived
-	return row.attemptsLeftAfter(1) && (!begun || dispatcher.silence(row.upstream, upstream) > stallTimeout)
+	stalls := dispatcher.silence(row.upstream, upstream) > stallTimeout && row.attemptsLeftAfter(1)
+	return upstream.unreachable || stalls
 }
 
-// hasSoundPlace returns whether an upstream that is neither silent nor avoided has capacity
-// for the request.
-func (dispatcher *Dispatcher) hasSoundPlace(now time.Duration, row requestRow, silent map[string]bool) bool {
+// soundPlace returns an upstream that is neither silent nor avoided and has capacity for the
+// request, if there is one. An upstream with a full batch has none for a stream that has
+// begun either.
+func (dispatcher *Dispatcher) soundPlace(now time.Duration, row requestRow, silent map[string]bool) (choice, bool) {
+	row.delivered = false
 	chosen, ok := dispatcher.chooseFrom(now, row.WithTried(row.upstream), func(upstream event.Upstream) bool {
 		return !silent[upstream.Name] && now >= dispatcher.upstream(upstream.Name).avoidUntil
 	})
-	return ok && dispatcher.hasCapacity(now, row, chosen)
+	return chosen, ok && dispatcher.hasCapacity(now, row, chosen) && !dispatcher.batchIsFull(row.pool, chosen)
+}
+
+func (dispatcher *Dispatcher) batchIsFull(pool string, chosen choice) bool {
+	found, _ := dispatcher.config.Document().Pool(pool)
+	return found.Engine.Batch > 0 && chosen.load.Running >= found.Engine.Batch
+}
+
+// expectLoad adds a request that is about to go to the place to the sum of all loads, so
+// that the requests considered after it find one place less.
+func (dispatcher *Dispatcher) expectLoad(row requestRow, place choice) {
+	loads := dispatcher.allLoads()
+	load := loads[place.upstream.Name]
+	load.Running++
+	load.PrefillTokens += place.load.UncachedTokens
+	load.KVTokens += row.kvTokens(place.load.UncachedTokens)
+	loads[place.upstream.Name] = load
 }
 
 // takeRetry takes a retry for the request from the common budget, unless it has one.
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -86,7 +86,7 @@
 const (
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 5
 )
 
 // idleTimeoutMargin is how long before the upstream closes an idle connection we stop
@@ -153,15 +153,13 @@
 	return newConnection(conn, client.settings.IdleTimeout), nil
 }
 
-// Probe opens a connection to the address, which the next request there uses. Its error
-// wraps ErrNotConnected.
+// Probe opens a connection to the address and closes it. Its error wraps ErrNotConnected.
 func (client *Client) Probe(ctx context.Context, address string) error {
 	opened, err := client.dial(ctx, address)
 	if err != nil {
 		return err
 	}
-	opened.usableUntil = time.Now().Add(client.settings.IdleTimeout)
-	client.putIdle(address, opened)
+	opened.close()
 	return nil
 }
 
