Answer requests that arrive while a stopping process closes

What callers saw: a connection closed without an answer although the head of a request was arriving, for an unsafe one without a way to know. Cause: net/http answers nothing that it has read after Shutdown has begun, and a connection counts as new until its first head is whole; found in review.

--- a/internal/node/httpserver/httpserver.go
+++ b/internal/node/httpserver/httpserver.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,7 @@
 type Server struct {
 	server   *http.Server
 	listener net.Listener
+	closing  atomic.Bool
 	// The mutex guards states, which has the state of each open connection.
 	mutex  sync.Mutex
 	states map[net.Conn]http.ConnState
@@ -37,9 +39,9 @@
 	// idleTimeout is how long an unused connection stays open.
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
-	// unusedWait is how long a connection without any byte of a request stays open after
-	// Shutdown has begun: its request may be on the way.
-	unusedWait = 250 * time.Millisecond
+	// openWait is how long after the listener requests on open connections are still served:
+	// they may be on the way.
+	openWait = 250 * time.Millisecond
 )
 
 // Listen opens the host:port address and serves the handler on it in the background. If the
@@ -63,7 +65,7 @@
 	}
 	server.server.ConnState = server.setState
 	go func() {
-		if err := server.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !server.closing.Load() {
 			failed(fmt.Errorf("serve on %q: %w", address, err))
 		}
 	}()
@@ -101,12 +103,17 @@
 }
 
 // Shutdown stops accepting connections and waits for the requests in flight, until the
-// context is done. It closes idle connections, and after unusedWait those on which nothing
+// context is done. After openWait it closes idle connections and those on which no request
 // has arrived, for which http.Server would wait. It neither closes nor waits for WebSocket
 // connections.
 func (server *Server) Shutdown(ctx context.Context) error {
-	timer := time.AfterFunc(unusedWait, server.closeUnused)
-	defer timer.Stop()
+	server.closing.Store(true)
+	_ = server.listener.Close()
+	select {
+	case <-time.After(openWait):
+	case <-ctx.Done():
+	}
+	server.closeUnused()
 	return server.server.Shutdown(ctx)
 }
 
