Bound what is unread of streamed responses only

What callers of an entry with sidecars saw: a 502, reason cancelled, for a long answer that is no stream. Cause: an answer of more than 4 MiB that arrived faster than the entry's own goroutine took it over counted as one whose caller reads slowly; such an answer is held until it is complete anyhow. Change: the bound of 4 MiB holds for streams, that of a held answer (64 MiB) for all others.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -18,6 +18,7 @@
 	"endivepost/internal/core/router"
 	"endivepost/internal/node/answer"
 	"endivepost/internal/node/attainment"
+	"endivepost/internal/node/caller"
 	"endivepost/internal/node/httpserver"
 	"endivepost/internal/node/loop"
 	"endivepost/internal/node/platform"
@@ -95,7 +96,7 @@
 	// redialDelay is the mean delay before the first redial. It doubles with each failure,
 	// up to a maximum.
 	redialDelay = 500 * time.Millisecond
-	// maxUnreadBytes bounds the part of a response that its caller has not read yet.
+	// maxUnreadBytes bounds the part of a streamed response that its caller has not read yet.
 	maxUnreadBytes = 4 << 20
 	// watchTimeout is how long the configuration service may hold a watch request open.
 	watchTimeout = 20 * time.Second
@@ -306,10 +307,14 @@
 	entry.log("link-closed").WithField("peer", requested.Peer).WithError(err).Info()
 }
 
-// newRequest returns a new request ID and the registered queue for its response.
-func (entry *Entry) newRequest() (message.RequestID, *answer.Queue) {
+// newRequest returns a new request ID and the registered queue for its response. Only the
+// response to a streamed request waits for its caller to read.
+func (entry *Entry) newRequest(stream bool) (message.RequestID, *answer.Queue) {
 	id := message.NewRequestID(entry.settings.Boot, entry.sequence.Add(1))
-	queue := answer.New(maxUnreadBytes)
+	queue := answer.New(caller.MaxAnswerBytes)
+	if stream {
+		queue = answer.New(maxUnreadBytes)
+	}
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
 	entry.responses[id] = queue
--- a/internal/node/entry/serving.go
+++ b/internal/node/entry/serving.go
@@ -113,7 +113,7 @@
 	ctx, span := entry.telemetry.Tracer().Start(ctx, "entry", trace.WithAttributes(attribute.String("class", resolved.Class.Name)))
 	defer span.End()
 	resolved.Payload.TraceParent = telemetry.Inject(ctx)
-	id, queue := entry.newRequest()
+	id, queue := entry.newRequest(resolved.Payload.Stream)
 	resolved.ID = id
 	span.SetAttributes(attribute.String("request", id.String()))
 	entry.inFlight.Add(1)
