--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -43,6 +43,8 @@
 	restarted func(entry *fleetEntry)
 	class     document.Class
 	sequence  uint64
+	// engineRestart is how long a crashed engine is down.
+	engineRestart time.Duration
 	// refusesDials is true if connections to an entry that is cut off are refused at once.
 	refusesDials bool
 }
@@ -69,11 +71,12 @@
 	remote     *fleetLink
 }
 
-// fleetEngine serves any number of requests at once, and none before downUntil. If limited,
-// its responses name limitPerSecond.
+// fleetEngine serves any number of requests at once, and none before downUntil. If robust,
+// crashing requests do not crash it. If limited, its responses name limitPerSecond.
 type fleetEngine struct {
 	name           string
 	downUntil      time.Duration
+	robust         bool
 	limited        bool
 	limitPerSecond float64
 }
@@ -102,8 +105,6 @@
 	dialTimeout = 3 * time.Second
 	// listExpiry is how long an engine that is gone stays in the published list.
 	listExpiry = 3600 * time.Millisecond
-	// engineRestart is how long a crashed engine is down.
-	engineRestart = 3 * time.Second
 	// crashDelay is the time from the begin of the response to the crash.
 	crashDelay = 30 * time.Millisecond
 )
@@ -119,7 +120,9 @@
 }
 
 func newFleet(entries, engines int, seed uint64) *fleet {
-	created := &fleet{random: rand.New(rand.NewPCG(seed, seed)), runs: table.New[message.RequestID, *fleetRun]()}
+	created := &fleet{
+		random: rand.New(rand.NewPCG(seed, seed)), runs: table.New[message.RequestID, *fleetRun](), engineRestart: 3 * time.Second,
+	}
 	nothing := func(*fleetRun) {}
 	created.arrivedAt, created.started, created.crashedAt = nothing, nothing, nothing
 	created.stateChanged = func(*fleetEntry, event.StateChanged) {}
@@ -403,7 +406,7 @@
 
 // begin begins the response.
 func (fleet *fleet) begin(run *fleetRun) {
-	if run.crashing {
+	if run.crashing && !run.engine.robust {
 		fleet.whileRunning(run, crashDelay, func() {
 			fleet.crashedAt(run)
 			fleet.crash(run.engine)
@@ -439,7 +442,7 @@
 
 // crash ends all responses of the engine, and starts it again later.
 func (fleet *fleet) crash(engine *fleetEngine) {
-	engine.downUntil = fleet.now + engineRestart
+	engine.downUntil = fleet.now + fleet.engineRestart
 	for _, id := range fleet.runs.Keys() {
 		if run, _ := fleet.runs.Get(id); run.running && run.engine == engine {
 			fleet.end(run, run.attempt.Number, event.Interrupted)
