Blame a part for crashes although some engines survive it

Cause: a survival anywhere cleared an attribute of all crashes before it. Of ten engines two survive the crashing part; each response that one of them completed took back the evidence from the other eight, at all entries. The entries mostly agree; the evidence is not lost between them.

Survivals name their upstream now, also to peers (message.Survival). One clears an attribute of the crashes before it only if its upstream crashed under the attribute too, or if 16 upstreams survived since. An attribute is blamed if it has more crashes in a row than upstreams that survived it since the first of them. The choice among several attributes: one that three upstreams or more survived at some time counts as shared by sound requests, and gives way to a more specific one as before; among the others one gives way only to one that has all of its crashes. Before, a request's own part that was at three of four crashes took the blame from the part.

The tests of internal/core, internal/node, platform and cmd pass.

TestReportsInAnyOrder draws upstreams for survivals, TestBlame has four more cases.

--- a/internal/core/admission/runs.go
+++ b/internal/core/admission/runs.go
@@ -214,7 +214,7 @@
 			Attempt: run.reserve.ID, Upstream: controller.settings.Name, SentAge: now - run.startedAt, Attributes: attributes,
 		})
 	case ended.Outcome == message.Complete:
-		controller.crashCauses.Survived(attributes, len(attributes)-event.OwnAttributes, run.startedAt)
+		controller.crashCauses.Survived(controller.settings.Name, attributes, len(attributes)-event.OwnAttributes, run.startedAt)
 	}
 }
 
--- a/internal/core/crashcause/finder.go
+++ b/internal/core/crashcause/finder.go
@@ -20,15 +20,15 @@
 // or repeated ones do no harm.
 type Finder struct {
 	interruptions *table.Table[message.RequestID, interruption]
-	// evidence has the attempts of the interruptions that count against an attribute, and
-	// interrupted the time of the latest interruption by upstream.
+	// evidence has the attempts of the interruptions of an attribute, and interrupted the
+	// time of the latest interruption by upstream.
 	evidence    map[uint64][]message.RequestID
 	interrupted map[string]time.Duration
-	survivals   *table.Table[uint64, survival]
+	survivals   *table.Table[uint64, []survival]
 	// unshared and unsharedSurvivals are the reports that peers have not been told yet, and
 	// resend is true if they are to be told everything.
 	unshared          message.CrashReports
-	unsharedSurvivals *table.Table[uint64, message.Survival]
+	unsharedSurvivals survivalReports
 	resend            bool
 	// causes is when the blame of each attribute ends.
 	causes map[uint64]time.Duration
@@ -37,28 +37,20 @@
 }
 
 // interruption is a response that an upstream broke off. It is refuted if the upstream
-// turned out not to have crashed. It does not count against the cleared attributes. A row
-// without an upstream is one of which only these are known yet.
+// turned out not to have crashed. Survivors are, by attribute, the upstreams that survived a
+// request sent later. A row without an upstream is one of which only these are known yet.
 type interruption struct {
 	upstream   string
 	at         time.Duration
 	sentAt     time.Duration
 	attributes []uint64
-	cleared    []uint64
+	survivors  map[uint64][]string
 	refuted    bool
 }
 
-// survival is when the latest of this process's requests with an attribute was sent whose
-// upstream survived the response; 0 if only peers had one. Told is true once peers know
-// that there was one.
-type survival struct {
-	sentAt time.Duration
-	told   bool
-}
-
 const (
 	// limit is the number of crashes in a row from which an attribute is blamed, and
-	// survivorLimit that for an attribute which an upstream survived before.
+	// survivorLimit that for an attribute which an upstream survived at some time.
 	limit         = 3
 	survivorLimit = 4
 	// SurvivalTime is how long after its begin a response shows that it does not crash
@@ -81,7 +73,6 @@
 	clockError = 50 * time.Millisecond
 
 	maxInterruptions = 2048
-	maxSurvivals     = 8192
 )
 
 // New returns a finder without any reports.
@@ -90,8 +81,8 @@
 		interruptions:     table.New[message.RequestID, interruption](),
 		evidence:          make(map[uint64][]message.RequestID),
 		interrupted:       make(map[string]time.Duration),
-		survivals:         table.New[uint64, survival](),
-		unsharedSurvivals: table.New[uint64, message.Survival](),
+		survivals:         table.New[uint64, []survival](),
+		unsharedSurvivals: newSurvivalReports(),
 		causes:            make(map[uint64]time.Duration),
 	}
 }
@@ -136,9 +127,12 @@
 	finder.index(report.Attempt, row)
 	finder.changed = true
 	for _, attribute := range report.Attributes {
-		finder.tellSurvival(attribute)
-		if survived, ok := finder.survivals.Get(attribute); ok && survived.sentAt > row.at {
-			finder.clear(attribute, []message.RequestID{report.Attempt}, true)
+		finder.tellSurvivals(attribute)
+		survivals, _ := finder.survivals.Get(attribute)
+		for _, survival := range survivals {
+			if survival.sentAt > row.at {
+				finder.addSurvivor(survivor{attribute: attribute, upstream: survival.upstream}, []message.RequestID{report.Attempt}, true)
+			}
 		}
 	}
 	return true
@@ -151,9 +145,7 @@
 	}
 	finder.interrupted[row.upstream] = max(finder.interrupted[row.upstream], row.at)
 	for _, attribute := range row.attributes {
-		if !slices.Contains(row.cleared, attribute) {
-			finder.evidence[attribute] = append(finder.evidence[attribute], attempt)
-		}
+		finder.evidence[attribute] = append(finder.evidence[attribute], attempt)
 	}
 }
 
@@ -196,99 +188,6 @@
 	}
 }
 
-// Survived records that an upstream survived the response to a request with the
-// attributes, which was sent at the given time. That clears them of the earlier crashes. It
-// remembers those that other requests may share, the first shared ones.
-func (finder *Finder) Survived(attributes []uint64, shared int, sentAt time.Duration) {
-	for i, attribute := range attributes {
-		if i < shared {
-			finder.remember(attribute, sentAt)
-		}
-		if _, suspected := finder.evidence[attribute]; !suspected {
-			continue
-		}
-		finder.remember(attribute, sentAt)
-		finder.tellSurvival(attribute)
-		var earlier []message.RequestID
-		for _, attempt := range finder.evidence[attribute] {
-			if row, _ := finder.interruptions.Get(attempt); row.at < sentAt {
-				earlier = append(earlier, attempt)
-			}
-		}
-		finder.clear(attribute, earlier, true)
-	}
-}
-
-// mergeSurvival adds a survival that a peer reported.
-func (finder *Finder) mergeSurvival(now time.Duration, report message.Survival, forward bool) {
-	if _, known := finder.survivals.Get(report.Attribute); !known {
-		finder.remember(report.Attribute, 0)
-		if !forward {
-			finder.survivals.Put(report.Attribute, survival{told: true})
-		}
-	}
-	finder.tellSurvival(report.Attribute)
-	for _, attempt := range report.Attempts {
-		finder.interruptions.Put(attempt, finder.row(now, attempt))
-	}
-	finder.clear(report.Attribute, report.Attempts, forward)
-}
-
-// remember records that an upstream survived a request with the attribute.
-func (finder *Finder) remember(attribute uint64, sentAt time.Duration) {
-	row, known := finder.survivals.Get(attribute)
-	if !known && finder.survivals.Len() >= maxSurvivals {
-		finder.survivals.Delete(finder.survivals.Keys()[0])
-	}
-	row.sentAt = max(row.sentAt, sentAt)
-	finder.survivals.Put(attribute, row)
-}
-
-// tellSurvival has peers told that the attribute survived at some time, once it counts
-// among the attributes of an interruption.
-func (finder *Finder) tellSurvival(attribute uint64) {
-	row, known := finder.survivals.Get(attribute)
-	if _, suspected := finder.evidence[attribute]; !known || !suspected || row.told {
-		return
-	}
-	row.told = true
-	finder.survivals.Put(attribute, row)
-	finder.share(attribute, nil)
-	finder.changed = true
-}
-
-// clear clears the attribute of the interruptions of the attempts.
-func (finder *Finder) clear(attribute uint64, attempts []message.RequestID, share bool) {
-	var cleared []message.RequestID
-	for _, attempt := range attempts {
-		row, known := finder.interruptions.Get(attempt)
-		if !known || slices.Contains(row.cleared, attribute) {
-			continue
-		}
-		row.cleared = append(row.cleared[:len(row.cleared):len(row.cleared)], attribute)
-		finder.interruptions.Put(attempt, row)
-		cleared = append(cleared, attempt)
-	}
-	if len(cleared) == 0 {
-		return
-	}
-	finder.evidence[attribute] = slices.DeleteFunc(finder.evidence[attribute], func(attempt message.RequestID) bool {
-		return slices.Contains(cleared, attempt)
-	})
-	finder.changed = true
-	if share {
-		finder.share(attribute, cleared)
-	}
-}
-
-// share adds to what peers are told of the attribute.
-func (finder *Finder) share(attribute uint64, attempts []message.RequestID) {
-	report, _ := finder.unsharedSurvivals.Get(attribute)
-	report.Attribute = attribute
-	report.Attempts = append(report.Attempts, attempts...)
-	finder.unsharedSurvivals.Put(attribute, report)
-}
-
 // Resend has the next Take return everything, for a peer that has just connected.
 func (finder *Finder) Resend() {
 	finder.resend = true
@@ -302,11 +201,7 @@
 // Take returns the reports that peers have not been told yet, and counts them as told.
 func (finder *Finder) Take(now time.Duration) message.CrashReports {
 	reports := finder.unshared
-	for _, attribute := range finder.unsharedSurvivals.Keys() {
-		report, _ := finder.unsharedSurvivals.Get(attribute)
-		reports.Survivals = append(reports.Survivals, report)
-		finder.unsharedSurvivals.Delete(attribute)
-	}
+	reports.Survivals = finder.unsharedSurvivals.take()
 	finder.unshared = message.CrashReports{}
 	if finder.resend {
 		finder.resend = false
@@ -318,7 +213,7 @@
 // all returns all interruptions, refuted ones and survivals of their attributes.
 func (finder *Finder) all(now time.Duration) message.CrashReports {
 	var reports message.CrashReports
-	told := table.New[uint64, message.Survival]()
+	survivals := newSurvivalReports()
 	for _, attempt := range finder.interruptions.Keys() {
 		row, _ := finder.interruptions.Get(attempt)
 		if row.refuted {
@@ -330,21 +225,19 @@
 				Attempt: attempt, Upstream: row.upstream, Age: now - row.at, SentAge: now - row.sentAt, Attributes: row.attributes,
 			})
 		}
-		for _, attribute := range row.cleared {
-			report, _ := told.Get(attribute)
-			told.Put(attribute, message.Survival{Attribute: attribute, Attempts: append(report.Attempts, attempt)})
+		for _, attribute := range slices.Sorted(maps.Keys(row.survivors)) {
+			for _, upstream := range row.survivors[attribute] {
+				survivals.add(survivor{attribute: attribute, upstream: upstream}, attempt)
+			}
 		}
 	}
 	for _, attribute := range slices.Sorted(maps.Keys(finder.evidence)) {
-		_, survived := finder.survivals.Get(attribute)
-		if _, listed := told.Get(attribute); survived && !listed {
-			told.Put(attribute, message.Survival{Attribute: attribute})
+		known, _ := finder.survivals.Get(attribute)
+		for _, survival := range known {
+			survivals.add(survivor{attribute: attribute, upstream: survival.upstream})
 		}
 	}
-	for _, attribute := range told.Keys() {
-		report, _ := told.Get(attribute)
-		reports.Survivals = append(reports.Survivals, report)
-	}
+	reports.Survivals = survivals.take()
 	return reports
 }
 
--- a/internal/core/crashcause/finder_test.go
+++ b/internal/core/crashcause/finder_test.go
@@ -29,7 +29,7 @@
 			Attributes: []uint64{sharedPart, crashingPart, 100 + i},
 		})
 	}
-	finder.Survived([]uint64{sharedPart, callersPart, 200}, 2, now)
+	finder.Survived("engine-0", []uint64{sharedPart, callersPart, 200}, 2, now)
 	blamed, _ := finder.Review(now)
 	remaining, rejected := finder.Cause(now, []uint64{sharedPart, crashingPart, 300})
 	_, alsoRejected := finder.Cause(now, []uint64{sharedPart, callersPart, 301})
@@ -69,7 +69,7 @@
 			}
 		}, []uint64{200}},
 		{"a part that survived before it began to crash upstreams", func(finder *crashcause.Finder, now time.Duration) {
-			finder.Survived([]uint64{crashingPart, 50}, 1, now-time.Second)
+			finder.Survived("engine-0", []uint64{crashingPart, 50}, 1, now-time.Second)
 			for i := range 4 {
 				finder.Interrupted(now+time.Duration(i)*time.Second, interruption(uint64(i), i, 100*time.Millisecond, crashingPart, 100+uint64(i)))
 			}
@@ -81,6 +81,34 @@
 				finder.Alive(at+500*time.Millisecond, fmt.Sprintf("engine-%d", i))
 			}
 		}, nil},
+		{"a part that some upstreams survive", func(finder *crashcause.Finder, now time.Duration) {
+			for i := range 5 {
+				at := now + time.Duration(i)*time.Second
+				finder.Interrupted(at, interruption(uint64(i), i, 100*time.Millisecond, sharedPart, crashingPart, 100+uint64(i)))
+				finder.Survived("robust", []uint64{crashingPart, 200 + uint64(i)}, 1, at+10*time.Millisecond)
+				finder.Survived("engine-0", []uint64{sharedPart, 300 + uint64(i)}, 1, at+10*time.Millisecond)
+			}
+		}, []uint64{crashingPart}},
+		{"a part that as many upstreams survive as crash", func(finder *crashcause.Finder, now time.Duration) {
+			for i := range 5 {
+				at := now + time.Duration(i)*time.Second
+				finder.Interrupted(at, interruption(uint64(i), i, 100*time.Millisecond, sharedPart, 100+uint64(i)))
+				finder.Survived(fmt.Sprintf("other-%d", i), []uint64{sharedPart, 200 + uint64(i)}, 1, now+10*time.Millisecond)
+			}
+		}, nil},
+		{"a part that an upstream survived between the crashes and then crashed", func(finder *crashcause.Finder, now time.Duration) {
+			for i := range 5 {
+				at := now + time.Duration(i)*time.Second
+				finder.Interrupted(at, interruption(uint64(i), i, 100*time.Millisecond, sharedPart, 100+uint64(i)))
+				finder.Survived(fmt.Sprintf("engine-%d", i+1), []uint64{sharedPart, 200 + uint64(i)}, 1, at+10*time.Millisecond)
+			}
+		}, nil},
+		{"a request's own part that has fewer of the crashes", func(finder *crashcause.Finder, now time.Duration) {
+			for i := range 4 {
+				own := 100 + uint64(min(i, 1))
+				finder.Interrupted(now+time.Duration(i)*time.Second, interruption(uint64(i), i, 100*time.Millisecond, crashingPart, own))
+			}
+		}, []uint64{crashingPart}},
 	}
 	for _, row := range cases {
 		t.Run(row.name, func(t *testing.T) {
@@ -110,7 +138,8 @@
 			reported.Age = 10*time.Second - at
 			reports = append(reports, func(finder *crashcause.Finder) { finder.Interrupted(now, reported) })
 			if rapid.Bool().Draw(t, "survives") {
-				survival := message.Survival{Attribute: attributes[0], Attempts: []message.RequestID{reported.Attempt}}
+				survivor := rapid.SampledFrom([]string{"", "engine-0", "engine-1", "robust-1", "robust-2"}).Draw(t, "survivor")
+				survival := message.Survival{Attribute: attributes[0], Attempts: []message.RequestID{reported.Attempt}, Upstream: survivor}
 				reports = append(reports, func(finder *crashcause.Finder) {
 					finder.Merge(now, message.CrashReports{Survivals: []message.Survival{survival}}, false)
 				})
@@ -146,7 +175,7 @@
 		now += time.Second
 		finder.Interrupted(now, interruption(i, int(i), 100*time.Millisecond, sharedPart, crashingPart, 100+i))
 	}
-	finder.Survived([]uint64{sharedPart, callersPart}, 1, now)
+	finder.Survived("engine-0", []uint64{sharedPart, callersPart}, 1, now)
 	finder.Resend()
 	started.Merge(time.Second, finder.Take(now), false)
 	want, _ := finder.Review(now)
--- a/internal/core/crashcause/review.go
+++ b/internal/core/crashcause/review.go
@@ -15,12 +15,15 @@
 }
 
 // candidate is an attribute that may be the cause of crashes. Depth is its place among the
-// attributes of a request: the higher, the fewer requests share it. Crashes are those since
-// the last survival, in their order, unexplained those that no chosen cause explains.
+// attributes of a request: the higher, the fewer requests share it. Crashes are those that
+// count against it, in their order, unexplained those that no chosen cause explains.
+// Survived is the number of upstreams that survived it at any time, survivors are those
+// that did so since the first of the crashes.
 type candidate struct {
 	attribute   uint64
 	depth       int
-	survived    bool
+	survived    int
+	survivors   map[string]bool
 	crashes     []occurrence
 	unexplained []occurrence
 }
@@ -32,6 +35,9 @@
 	sentAt time.Duration
 }
 
+// mostNumerator of mostDenominator crashes are most of them.
+const mostNumerator, mostDenominator = 3, 4
+
 // Review finds the causes anew if something was reported since the last review. It returns
 // the attributes that were not blamed before and those that no longer are.
 func (finder *Finder) Review(now time.Duration) (blamed, cleared []uint64) {
@@ -94,43 +100,79 @@
 	return causes
 }
 
-// collect groups the interruptions into crashes and lists the crashes of each attribute
-// since it last survived.
+// collect groups the interruptions into crashes and lists those that count against each
+// attribute.
 func (finder *Finder) collect() ([]crash, []*candidate) {
 	rows := finder.unrefuted()
-	var crashes []crash
-	current := make(map[string]int)
+	crashes, indexes := groupCrashes(rows)
+	crashed := crashedUpstreams(rows)
 	candidates := table.New[uint64, *candidate]()
-	for _, row := range rows {
-		index, found := current[row.upstream]
-		if !found || row.at-crashes[index].at >= minRestartTime {
-			index = len(crashes)
-			current[row.upstream] = index
-			crashes = append(crashes, crash{at: row.at})
-		}
+	for i, row := range rows {
 		for depth, attribute := range row.attributes {
-			if slices.Contains(row.cleared, attribute) {
+			survivors := row.survivors[attribute]
+			if disproved(survivors, crashed[attribute]) {
 				continue
 			}
 			listed, ok := candidates.Get(attribute)
 			if !ok {
-				_, survived := finder.survivals.Get(attribute)
-				listed = &candidate{attribute: attribute, depth: depth, survived: survived}
+				listed = finder.newCandidate(attribute, depth)
 				candidates.Put(attribute, listed)
 			}
-			listed.add(index, row.sentAt)
+			listed.add(indexes[i], row.sentAt, survivors)
 		}
 	}
 	var list []*candidate
 	for _, attribute := range candidates.Keys() {
-		listed, _ := candidates.Get(attribute)
-		if len(listed.crashes) >= limit {
+		if listed, _ := candidates.Get(attribute); len(listed.crashes) >= limit {
 			list = append(list, listed)
 		}
 	}
 	return crashes, list
 }
 
+// newCandidate returns a candidate without any crashes.
+func (finder *Finder) newCandidate(attribute uint64, depth int) *candidate {
+	survivals, _ := finder.survivals.Get(attribute)
+	return &candidate{attribute: attribute, depth: depth, survived: len(survivals), survivors: make(map[string]bool)}
+}
+
+// groupCrashes groups interruptions into crashes, and returns the index of the crash for
+// each interruption.
+func groupCrashes(rows []interruption) (crashes []crash, indexes []int) {
+	current := make(map[string]int)
+	for _, row := range rows {
+		index, found := current[row.upstream]
+		if !found || row.at-crashes[index].at >= minRestartTime {
+			index = len(crashes)
+			current[row.upstream] = index
+			crashes = append(crashes, crash{at: row.at})
+		}
+		indexes = append(indexes, index)
+	}
+	return crashes, indexes
+}
+
+// crashedUpstreams returns the upstreams that crashed under each attribute.
+func crashedUpstreams(rows []interruption) map[uint64]map[string]bool {
+	crashed := make(map[uint64]map[string]bool)
+	for _, row := range rows {
+		for _, attribute := range row.attributes {
+			if crashed[attribute] == nil {
+				crashed[attribute] = make(map[string]bool)
+			}
+			crashed[attribute][row.upstream] = true
+		}
+	}
+	return crashed
+}
+
+// disproved returns whether the survivors show that a crash had another cause than the
+// attribute: one of them also crashed under it, or they are many. Others may be upstreams
+// that the attribute never crashes. A peer of an earlier version names no upstream.
+func disproved(survivors []string, crashed map[string]bool) bool {
+	return len(survivors) >= maxSurvivors || slices.ContainsFunc(survivors, func(upstream string) bool { return upstream == "" || crashed[upstream] })
+}
+
 // unrefuted returns the interruptions that may be crashes, in order of time.
 func (finder *Finder) unrefuted() []interruption {
 	var rows []interruption
@@ -143,8 +185,12 @@
 	return rows
 }
 
-// add adds a crash at which a request with the attribute was in flight.
-func (candidate *candidate) add(crash int, sentAt time.Duration) {
+// add adds a crash at which a request with the attribute was in flight, and the upstreams
+// that survived the attribute since.
+func (candidate *candidate) add(crash int, sentAt time.Duration, survivors []string) {
+	for _, upstream := range survivors {
+		candidate.survivors[upstream] = true
+	}
 	for i, known := range candidate.crashes {
 		if known.crash == crash {
 			candidate.crashes[i].sentAt = max(known.sentAt, sentAt)
@@ -181,58 +227,76 @@
 	return count
 }
 
-// choose returns the best candidate for a cause of the crashes that are not explained yet:
-// the one with most of them, or one with nearly as many that is more specific.
+// choose returns the best candidate for a cause of the crashes that are not explained yet.
+// One has to have the crashes in a row that blame it; others may be better.
 func choose(crashes []crash, candidates []*candidate) (best candidate, found bool) {
-	var likely []candidate
+	var possible, likely []candidate
 	for _, listed := range candidates {
-		if left := listed.leaveOutExplained(crashes); inARow(crashes, left.unexplained) >= left.crashLimit() {
+		left := listed.leaveOutExplained(crashes)
+		count := inARow(crashes, left.unexplained)
+		if count <= len(left.survivors) {
+			continue
+		}
+		possible = append(possible, left)
+		if count >= left.crashLimit() {
 			likely = append(likely, left)
 		}
 	}
 	if len(likely) == 0 {
 		return candidate{}, false
 	}
-	slices.SortStableFunc(likely, func(left, right candidate) int {
-		return cmp.Or(cmp.Compare(len(right.unexplained), len(left.unexplained)), cmp.Compare(left.attribute, right.attribute))
-	})
-	best = likely[0]
-	for _, other := range likely[1:] {
-		if moreSpecific(other, best) && explainsMost(other, best) {
+	slices.SortStableFunc(possible, byCrashes)
+	best = slices.MinFunc(likely, byCrashes)
+	for _, other := range possible {
+		if other.better(best) {
 			best = other
 		}
 	}
 	return best, true
 }
 
+// byCrashes orders candidates by their unexplained crashes, most of them first.
+func byCrashes(left, right candidate) int {
+	return cmp.Or(cmp.Compare(len(right.unexplained), len(left.unexplained)), cmp.Compare(left.attribute, right.attribute))
+}
+
 // crashLimit returns from how many crashes in a row the attribute is blamed.
 func (candidate candidate) crashLimit() int {
-	if candidate.survived {
+	if candidate.survived > 0 {
 		return survivorLimit
 	}
 	return limit
 }
 
-// moreSpecific returns whether the candidate is less likely than the other to affect sound
-// requests: it never survived and the other one did, or fewer requests share it.
-func moreSpecific(candidate, other candidate) bool {
-	if candidate.survived != other.survived {
-		return other.survived
+// better returns whether the candidate is the better cause of the other's crashes. In place
+// of an attribute that sound requests share, it is one that is more specific and has most
+// of the crashes. Else it has all of them, and more or the more specific attribute.
+func (candidate candidate) better(other candidate) bool {
+	deeper := candidate.depth > other.depth
+	common := candidate.common(other)
+	if other.sharedBySound() {
+		return (deeper || !candidate.sharedBySound()) && mostDenominator*common >= mostNumerator*len(other.unexplained)
 	}
-	return candidate.depth > other.depth
+	more := len(candidate.unexplained) > len(other.unexplained)
+	return !candidate.sharedBySound() && common == len(other.unexplained) && (more || deeper)
 }
 
-// explainsMost returns whether three quarters or more of the crashes of the other
-// candidate are also those of this one.
-func explainsMost(candidate, other candidate) bool {
-	const numerator, denominator = 3, 4
-	common := 0
+// sharedBySound returns whether as many upstreams survived the attribute at some time as
+// have to crash before an unknown one is blamed.
+func (candidate candidate) sharedBySound() bool {
+	return candidate.survived >= limit
+}
+
+// common counts the unexplained crashes of the other candidate that are also those of this
+// one.
+func (candidate candidate) common(other candidate) int {
+	count := 0
 	for _, occurrence := range other.unexplained {
 		if candidate.has(occurrence.crash) {
-			common++
+			count++
 		}
 	}
-	return denominator*common >= numerator*len(other.unexplained)
+	return count
 }
 
 func (candidate candidate) has(crash int) bool {
--- a/internal/core/dispatch/crash_causes.go
+++ b/internal/core/dispatch/crash_causes.go
@@ -21,7 +21,7 @@
 
 // reportSurvival records that the upstream survived the response of the request.
 func (dispatcher *Dispatcher) reportSurvival(row requestRow) {
-	dispatcher.crashCauses.Survived(row.attributes, len(row.request.Prompt.Shared()), row.sentAt)
+	dispatcher.crashCauses.Survived(row.upstream, row.attributes, len(row.request.Prompt.Shared()), row.sentAt)
 }
 
 // reviewCrashCauses has new interruptions told to the peers at once. It finds the causes of
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -100,12 +100,13 @@
 	Attributes []uint64      `cbor:"5,keyasint,omitempty"`
 }
 
-// Survival reports that an upstream survived the response to a request with the attribute.
-// Attempts are the interrupted ones before which the request was not sent yet: they do not
-// count against the attribute.
+// Survival reports that the upstream survived the response to a request with the attribute.
+// Attempts are the interrupted ones before which the request was not sent yet. Without any,
+// the report says only that some upstream survived one at some time.
 type Survival struct {
 	Attribute uint64      `cbor:"1,keyasint"`
 	Attempts  []RequestID `cbor:"2,keyasint,omitempty"`
+	Upstream  string      `cbor:"3,keyasint,omitempty"`
 }
 
 // UpstreamLoad is one entry's work in flight at one upstream.
