Send nothing to an upstream that asked for a backoff

Cause: an upstream's status 503 with Retry-After was not told from one without: the entry went on sending it requests.

Change: the time, or a date as counted from the date of the response, is read once from each 503, at most an hour; what is no time is ignored and logged once for each upstream. The entry that was asked sends the upstream nothing, no retries, resumed streams, queued requests or cache queries, until the latest end by its own uptime. What was placed there and of which nothing was sent is placed again; running requests go on. Behind the end one request goes first, for 250 ms or until a response to it. If all upstreams of a pool want nothing for longer than a request may wait, it is refused as not run, and Retry-After is the first end and up to a quarter of the time more, at least 200 ms, at random. The log has upstream-backoff and upstream-backoff-ended; the metric beliefs counts them.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -22,6 +22,7 @@
 	row.events = 1
 	dispatcher.requests.Put(input.ID, row)
 	dispatcher.removeFalseCrashes(now, row.upstream)
+	dispatcher.endBackoff(now, row.upstream, row.sentAt)
 	upstream := dispatcher.upstream(row.upstream).WithSuccess(now, dispatcher.watched)
 	upstream.load.PrefillTokens -= row.prefillTokens
 	dispatcher.upstreams.Put(row.upstream, upstream)
@@ -69,6 +70,7 @@
 		return
 	}
 	dispatcher.removeLoad(row)
+	dispatcher.endBackoff(now, row.upstream, row.sentAt)
 	row.delivered = row.delivered || ended.Delivered
 	if row.state == cancelled || ended.Result == event.Abandoned {
 		dispatcher.finish(now, row, message.Incomplete, message.Cancelled)
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -94,6 +94,9 @@
 	admitDue time.Duration
 	// limitDue is when an upstream whose rate limit left no request may get one, 0 if none.
 	limitDue time.Duration
+	// backoffDue is when the next upstream may be sent something again after a backoff, 0 if
+	// none asked for one.
+	backoffDue time.Duration
 	// totalLoads is the load of all entries by upstream, nil if it is out of date.
 	totalLoads map[string]message.UpstreamLoad
 	// queuedTokens counts the prompt tokens of the queued requests by tier.
@@ -205,6 +208,7 @@
 		dispatcher.handleInput(now, input)
 	}
 	dispatcher.reviewCrashCauses(now)
+	dispatcher.checkBackoffs(now)
 	dispatcher.placeWaiting(now)
 	dispatcher.expireWaiting(now)
 	dispatcher.checkLimits(now)
@@ -237,6 +241,9 @@
 	if dispatcher.limitDue > 0 && len(dispatcher.queuedTokens) > 0 {
 		next = min(next, dispatcher.limitDue)
 	}
+	if dispatcher.backoffDue > 0 {
+		next = min(next, dispatcher.backoffDue)
+	}
 	if dispatcher.originsDue > 0 {
 		next = min(next, dispatcher.originsDue)
 	}
--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -31,9 +31,10 @@
 	entries []*fleetEntry
 	engines []*fleetEngine
 	runs    *table.Table[message.RequestID, *fleetRun]
-	// The hooks are called when a request reaches an engine, begins its response, crashes
-	// its engine, and has its final outcome.
+	// The hooks are called when a request reaches an engine, is turned away there, begins its
+	// response, crashes its engine, and has its final outcome.
 	arrivedAt    func(run *fleetRun)
+	turnedAway   func(run *fleetRun)
 	started      func(run *fleetRun)
 	crashedAt    func(run *fleetRun)
 	stateChanged func(entry *fleetEntry, change event.StateChanged)
@@ -72,13 +73,16 @@
 }
 
 // fleetEngine serves any number of requests at once, and none before downUntil. If robust,
-// crashing requests do not crash it. If limited, its responses name limitPerSecond.
+// crashing requests do not crash it. If limited, its responses name limitPerSecond. If
+// turnsAway is set, it runs no new requests and answers them by asking for a backoff of
+// that length.
 type fleetEngine struct {
 	name           string
 	downUntil      time.Duration
 	robust         bool
 	limited        bool
 	limitPerSecond float64
+	turnsAway      time.Duration
 }
 
 // fleetRun is a request with its current attempt. Crashing requests crash the engine as
@@ -124,7 +128,7 @@
 		random: rand.New(rand.NewPCG(seed, seed)), runs: table.New[message.RequestID, *fleetRun](), engineRestart: 3 * time.Second,
 	}
 	nothing := func(*fleetRun) {}
-	created.arrivedAt, created.started, created.crashedAt = nothing, nothing, nothing
+	created.arrivedAt, created.turnedAway, created.started, created.crashedAt = nothing, nothing, nothing, nothing
 	created.stateChanged = func(*fleetEntry, event.StateChanged) {}
 	created.finished = func(*fleetRun, event.Finish) {}
 	for i := range engines {
@@ -390,6 +394,12 @@
 	run.running = true
 	run.began = false
 	fleet.arrivedAt(run)
+	if run.engine.turnsAway > 0 {
+		fleet.turnedAway(run)
+		fleet.report(run, event.BackoffRequested{Upstream: run.engine.name, For: run.engine.turnsAway})
+		fleet.end(run, attempt.Number, event.Declined)
+		return
+	}
 	first := time.Duration(50+fleet.random.IntN(200)) * time.Millisecond
 	fleet.whileRunning(run, first, func() { fleet.begin(run) })
 }
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -21,6 +21,8 @@
 		dispatcher.handleLimit(now, input)
 	case event.LeavingAnnounced:
 		dispatcher.handleLeavingAnnounced(now, input)
+	case event.BackoffRequested:
+		dispatcher.handleBackoff(now, input)
 	case event.AttemptEnded:
 		dispatcher.handleAttemptEnd(now, input)
 	case event.CallerDisconnected:
--- a/internal/core/dispatch/queue.go
+++ b/internal/core/dispatch/queue.go
@@ -168,7 +168,8 @@
 
 // retryAfter returns the Retry-After for a request that was not run: for one that would
 // crash upstreams, the time for which such requests are rejected; a short one if this entry
-// drains, since another entry can take the request at once; after an overload the time until
+// drains, since another entry can take the request at once; the time until one of the pool's
+// upstreams may be sent anything again if all of them asked for a backoff; after an overload the time until
 // the requests now queued of its tier and of higher ones have been sent, within
 // maxRetryAfter; otherwise one to two times minRetryAfter.
 func (dispatcher *Dispatcher) retryAfter(now time.Duration, row requestRow, reason message.Reason) time.Duration {
@@ -178,6 +179,9 @@
 	if dispatcher.draining {
 		return drainingRetryAfter
 	}
+	if wait, found := dispatcher.backoffRetryAfter(now, row.pool); found {
+		return wait
+	}
 	short := minRetryAfter + time.Duration(dispatcher.settings.Random.Int64N(int64(minRetryAfter)))
 	if reason != message.Overload {
 		return short
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -225,9 +225,12 @@
 	row.upstreamBuild = upstream.Build
 	row.prefillTokens = dispatcher.uncachedTokens(row, upstream.Name, nil)
 	dispatcher.addLoad(now, row)
-	upstreamRow := dispatcher.upstream(upstream.Name)
+	upstreamRow := dispatcher.upstream(upstream.Name).startTrial(now)
 	upstreamRow.limit.share = upstreamRow.limit.share.WithSent(now)
 	dispatcher.upstreams.Put(upstream.Name, upstreamRow)
+	if upstreamRow.backoff.active {
+		dispatcher.scheduleBackoff(upstreamRow.backoff.next())
+	}
 	dispatcher.requestDue.Remove(row.request.ID)
 	if !row.counted {
 		row.counted = true
@@ -251,6 +254,10 @@
 		dispatcher.abort(now, row, row.noUpstream())
 		return
 	}
+	if dispatcher.outlastedByBackoff(now, row) {
+		dispatcher.abort(now, row, message.QueueFull)
+		return
+	}
 	row.state = waiting
 	dispatcher.waitsForOrigin = dispatcher.waitsForOrigin || row.begun && !row.buildKnown
 	dispatcher.requests.Put(row.request.ID, row)
--- a/internal/core/dispatch/upstreams.go
+++ b/internal/core/dispatch/upstreams.go
@@ -34,8 +34,9 @@
 	// be cached there.
 	cache *prefixcache.Cache
 	// pace is that of this entry's own streams there.
-	pace  pace.Pace
-	limit rateLimit
+	pace    pace.Pace
+	limit   rateLimit
+	backoff backoff
 	// crashSuspects are the requests whose responses it interrupted lately.
 	crashSuspects []crashSuspect
 }
@@ -120,7 +121,7 @@
 }
 
 // choose returns the upstream to send the request to, if there is one. It excludes
-// upstreams that were tried for the request; those that failed lately or fail often
+// upstreams that were tried for the request and those that asked for a backoff; those that failed lately or fail often
 // are chosen only if there is no other, and last those whose rate limit leaves no request
 // now.
 func (dispatcher *Dispatcher) choose(now time.Duration, row requestRow) (choice, bool) {
@@ -132,7 +133,7 @@
 	pool := dispatcher.pool(now, row.pool)
 	var candidates, untried, limited []event.Upstream
 	for _, upstream := range pool.usable {
-		if slices.Contains(row.tried, upstream.Name) || !row.fitsBuild(upstream) || !eligible(upstream) {
+		if slices.Contains(row.tried, upstream.Name) || !row.fitsBuild(upstream) || !eligible(upstream) || !dispatcher.admitsWork(now, upstream.Name) {
 			continue
 		}
 		if !dispatcher.withinLimit(now, upstream.Name) {
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -140,6 +140,13 @@
 	Started  int64
 }
 
+// BackoffRequested reports that an upstream turned a request away and wants nothing from this
+// entry for the given time.
+type BackoffRequested struct {
+	Upstream string
+	For      time.Duration
+}
+
 // AttemptEnded reports how an attempt ended.
 type AttemptEnded struct {
 	ID     message.RequestID
@@ -256,6 +263,8 @@
 	Era uint64
 	// Age is how long ago the upstream announced a departure; see AnnouncedLeaving.
 	Age time.Duration
+	// For is how long a backoff lasts, or has lasted.
+	For time.Duration
 }
 
 // UpstreamSilent reports that an upstream has requests in flight and sends nothing. Idle
@@ -336,6 +345,10 @@
 	// AnnouncedLeaving means that the upstream announced in a response that it leaves.
 	// Version is the revision of its row.
 	AnnouncedLeaving
+	// BackoffStarted means that the upstream asked to be sent nothing for a time.
+	BackoffStarted
+	// BackoffEnded means that the upstream has answered again after a backoff.
+	BackoffEnded
 )
 
 func (UpstreamUpdated) input()       {}
@@ -351,6 +364,7 @@
 func (AttemptActive) input()         {}
 func (LimitReported) input()         {}
 func (LeavingAnnounced) input()      {}
+func (BackoffRequested) input()      {}
 func (AttemptEnded) input()          {}
 func (AttemptProgressed) input()     {}
 
--- a/internal/node/dialect/dialect.go
+++ b/internal/node/dialect/dialect.go
@@ -75,10 +75,20 @@
 	Signed bool
 	// Leaving means that the upstream says that it leaves: it is to get no more requests.
 	Leaving bool
+	// Backoff is for how long the upstream asks not to be sent anything.
+	Backoff Backoff
 	// Limit is the rate of requests that the upstream takes from all entries together.
 	Limit RateLimit
 }
 
+// Backoff is what a response says of a backoff: the time counts from the response, and counts
+// only if Named is true and Err nil. Err is why a named time is invalid.
+type Backoff struct {
+	Named bool
+	For   time.Duration
+	Err   error
+}
+
 // RateLimit is what a response says of the upstream's rate limit. PerSecond is in requests
 // per second and counts only if Named is true. Err is why a named limit is invalid.
 type RateLimit struct {
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -59,6 +59,8 @@
 	active     map[message.RequestID]*commands
 	// limited has the upstreams of which a rate limit is known.
 	limited map[string]bool
+	// invalidBackoffs has the upstreams that asked for an invalid backoff.
+	invalidBackoffs map[string]bool
 }
 
 // Settings of an Entry. Boot must be random: it makes request IDs unique. Secret is
@@ -149,6 +151,8 @@
 		links:     make(map[string]numberedLink),
 		active:    make(map[message.RequestID]*commands),
 		limited:   make(map[string]bool),
+
+		invalidBackoffs: make(map[string]bool),
 	}
 	random := rand.New(rand.NewPCG(settings.Boot, settings.Boot))
 	entry.dispatcher = dispatch.New(dispatch.Settings{
@@ -325,6 +329,7 @@
 	event.Blamed: logevent.CrashCauseFound, event.BlameCleared: logevent.CrashCauseCleared,
 	event.Limited: logevent.UpstreamLimited, event.LimitEnded: logevent.UpstreamUnlimited,
 	event.AnnouncedLeaving: logevent.UpstreamAnnouncedLeaving,
+	event.BackoffStarted:   logevent.UpstreamBackoff, event.BackoffEnded: logevent.UpstreamBackoffEnded,
 }
 
 // handleStateChange handles the outputs that report a change of the entry's state: log
@@ -352,7 +357,11 @@
 		case event.Limited, event.LimitEnded, event.Leaving:
 			entry.setLimited(output.Name, output.State == event.Limited)
 		}
-		if output.State == event.Leaving {
+		switch output.State {
+		case event.Leaving:
+			entry.withdrawAttempts(output.Name)
+			entry.forgetInvalidBackoffs(output.Name)
+		case event.BackoffStarted:
 			entry.withdrawAttempts(output.Name)
 		}
 		entry.countBelief(stateEvents[output.State])
@@ -364,6 +373,8 @@
 			line = line.WithField("era", output.Era)
 		case event.AnnouncedLeaving:
 			line = line.WithFields(logrus.Fields{"era": output.Era, "age-ms": output.Age.Milliseconds()})
+		case event.BackoffStarted, event.BackoffEnded:
+			line = line.WithField("for-ms", output.For.Milliseconds())
 		}
 		line.Info()
 	case event.Ready:
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -39,6 +39,8 @@
 	// UpstreamAnnouncedLeaving comes with an UpstreamLeft.
 	UpstreamAnnouncedLeaving Name = "upstream-announced-leaving"
 	UpstreamUnlimited        Name = "upstream-unlimited"
+	UpstreamBackoff          Name = "upstream-backoff"
+	UpstreamBackoffEnded     Name = "upstream-backoff-ended"
 	CrashCauseFound          Name = "crash-cause-found"
 	CrashCauseCleared        Name = "crash-cause-cleared"
 	LinkOpened               Name = "link-opened"
@@ -102,6 +104,11 @@
 	},
 	{UpstreamLimited, "an upstream named a limit of the requests that it takes from all entries; version is the limit per 1000 s", "name, source, version"},
 	{UpstreamUnlimited, "an upstream no longer names a limit", "name, source, version"},
+	{
+		UpstreamBackoff, "an upstream turned a request away and wants nothing for for-ms; a later response may have extended that, and version is 0",
+		"name, source, version, for-ms",
+	},
+	{UpstreamBackoffEnded, "an upstream answered again after a backoff, for-ms after its begin; version is 0", "name, source, version, for-ms"},
 	{CacheReported, "an engine was queried for its cached prompt parts because no other entry could list them; parts is their number", "name, parts, error"},
 	{
 		RequestSuspected, "an upstream failed while it ran a request; name is the request's fingerprint, version the number of such upstreams",
--- a/internal/node/timeline/timeline.go
+++ b/internal/node/timeline/timeline.go
@@ -47,8 +47,8 @@
 // not contain its ID.
 var stateEvents = []logevent.Name{
 	logevent.ConfigAccepted, logevent.ConfigRejected, logevent.StoreLost, logevent.StoreRegained, logevent.UpstreamLeft,
-	logevent.UpstreamAnnouncedLeaving, logevent.UpstreamSilent, logevent.UpstreamUnreachable, logevent.Draining, logevent.Started, logevent.Ready,
-	logevent.StoreHistoryGone,
+	logevent.UpstreamAnnouncedLeaving, logevent.UpstreamBackoff, logevent.UpstreamBackoffEnded, logevent.UpstreamSilent,
+	logevent.UpstreamUnreachable, logevent.Draining, logevent.Started, logevent.Ready, logevent.StoreHistoryGone,
 }
 
 func (line Line) isStateChange() bool {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -124,6 +124,14 @@
   's/return announcement\.made && .*/return announcement.made/' $dispatch TestAnnouncedLeavingIsForgotten
 mutant "leaving: an attempt that was placed is sent" internal/node/direct/departures.go \
   's/commands\.withdrawn = commands\.withdrawn \|\|/commands.withdrawn = false \&\&/' ./internal/node/direct TestWithdrawnAttemptIsSent
+mutant "backoff: the choice ignores it" internal/core/dispatch/backoffs.go \
+  's/return !backoff\.active \|\| now >= backoff\.until.*/return true/' $dispatch TestRequestsInBackoff
+mutant "backoff: no trial" internal/core/dispatch/backoffs.go \
+  's/ && \(backoff\.trialAt == 0 .*/ || false/' $dispatch TestRequestsInBackoff
+mutant "backoff: a later response shortens it" internal/core/dispatch/backoffs.go \
+  's/ \|\| before\.active && until <= before\.until//' $dispatch TestShorterBackoffDoesNotShorten
+mutant "backoff: callers are not told its end" internal/core/dispatch/backoffs.go \
+  's/return end - now \+ /return /' $dispatch TestRequestsInBackoff
 mutant "bounds: informational responses without end" internal/node/exchange/response_head.go \
   's/range maxInformational \+ 1/range 1 << 40/' ./internal/node/exchange TestEndlessHead
 mutant "bounds: a comment counts as an event" internal/node/eventstream/eventstream.go \
