Have sidecars heed an upstream that leaves or asks for a backoff

Cause: a sidecar read nothing but status and body of its upstream's responses, and sent further requests after it had said that it leaves (Endivepost-Leaving: 1) or, with status 503 and Retry-After, that it wants nothing for a time.

Change: both are read from the head of each response. The sidecar then sends nothing, refuses queued, pushed and granted requests as not run, and reports limit 0 and the time left at once, so that entries place requests elsewhere and tell callers the shortest time. Leaving ends when a check of the upstream has failed and one succeeds; a backoff ends by the sidecar's uptime, without checks meanwhile, and one request goes first. Both are in one commit, since they share the question whether the upstream admits requests.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -49,13 +49,16 @@
 	crashCauses *crashcause.Finder
 	config      *distribution.Distributor
 	// claimed and running count the occupied slots.
-	claimed      int
-	running      int
-	upstreamUp   bool
-	draining     bool
-	drained      bool
-	lastStep     time.Duration
-	heartbeatDue time.Duration
+	claimed    int
+	running    int
+	upstreamUp bool
+	// upstreamLeaving is set once the upstream has announced in a response that it leaves.
+	upstreamLeaving bool
+	backoff         backoff
+	draining        bool
+	drained         bool
+	lastStep        time.Duration
+	heartbeatDue    time.Duration
 	// lastSuspectCrash is the time of the last crash of a suspect's run.
 	lastSuspectCrash time.Duration
 	// meanServiceTime is the moving average of the time from the start of a run to its
@@ -133,6 +136,7 @@
 func (controller *Controller) Step(now time.Duration, inputs []event.Input) []event.Output {
 	controller.outputs = nil
 	controller.resetAfterPause(now)
+	controller.expireBackoff(now)
 	for _, input := range inputs {
 		controller.handle(now, input)
 	}
@@ -157,19 +161,27 @@
 			next = min(next, due)
 		}
 	}
+	if due := controller.nextBackoffDue(); due > controller.lastStep {
+		next = min(next, due)
+	}
 	return next
 }
 
 // Load returns the upstream's load for heartbeats. Claimed slots count as running. The
-// limit is 0 while the upstream is down.
+// limit is 0 while the upstream is down, leaves or wants nothing.
 func (controller *Controller) Load() message.Load {
+	return controller.load(controller.lastStep)
+}
+
+func (controller *Controller) load(now time.Duration) message.Load {
 	load := message.Load{
 		Limit:   controller.settings.Limit.Limit(),
 		Running: controller.running + controller.claimed,
 		Queued:  controller.reservations.Len() - controller.claimed,
 	}
-	if !controller.upstreamUp {
+	if !controller.admits() {
 		load.Limit = 0
+		load.Wait = controller.backoffLeft(now)
 	}
 	if load.Limit > 0 {
 		load.Wait = controller.meanServiceTime * time.Duration(load.Queued) / time.Duration(load.Limit)
@@ -195,6 +207,10 @@
 		controller.appendChunk(now, input)
 	case event.RunEnded:
 		controller.handleRunEnded(now, input)
+	case event.LeavingAnnounced:
+		controller.handleLeavingAnnounced(now)
+	case event.BackoffRequested:
+		controller.handleBackoff(now, input)
 	case event.UpstreamChecked:
 		controller.setUpstreamUp(now, input.Up)
 	case event.DocumentRead:
--- a/internal/core/admission/dispatch.go
+++ b/internal/core/admission/dispatch.go
@@ -11,11 +11,12 @@
 // dispatch fills free slots with the requests that the order policy picks. Pushed
 // requests start at once, others are claimed from their entry.
 func (controller *Controller) dispatch(now time.Duration) {
-	for controller.upstreamUp && controller.running+controller.claimed < controller.settings.Limit.Limit() {
+	for controller.admits() && !controller.awaitsTrial(now) && controller.running+controller.claimed < controller.settings.Limit.Limit() {
 		item, ok := controller.settings.Order.Pick(now, controller.mustWait)
 		if !ok {
 			return
 		}
+		controller.startTrial(now)
 		row, _ := controller.reservations.Get(item.Key)
 		if row.reserve.Payload != nil {
 			controller.reservations.Delete(item.Key)
@@ -61,6 +62,7 @@
 func (controller *Controller) setUpstreamUp(now time.Duration, up bool) {
 	controller.upstreamUp = up
 	if !up {
+		controller.upstreamLeaving = false
 		controller.refuseQueued(now, message.UpstreamDown)
 	}
 }
--- a/internal/core/admission/links.go
+++ b/internal/core/admission/links.go
@@ -136,7 +136,7 @@
 	return message.Heartbeat{
 		Uptime:        now,
 		ConfigVersion: controller.config.Version(),
-		Load:          controller.Load(),
+		Load:          controller.load(now),
 		Leaving:       controller.draining,
 		Suspicions:    controller.suspects.Report(now, maxSuspicionsPerHeartbeat),
 		Crashes:       controller.crashCauses.Take(now),
--- a/internal/core/admission/reservations.go
+++ b/internal/core/admission/reservations.go
@@ -97,8 +97,8 @@
 	switch {
 	case controller.draining:
 		return message.Draining
-	case !controller.upstreamUp:
-		return message.UpstreamDown
+	case !controller.admits():
+		return controller.upstreamRefusal()
 	case reserve.Payload != nil && now-reserve.Echo > controller.settings.PushLease:
 		return message.LeaseExpired
 	case reserve.Key != (message.Digest{}) && controller.config.Version() == 0:
@@ -169,13 +169,18 @@
 	controller.replay(run, peer, id, 0)
 }
 
-// handleGrant starts the claimed request, unless its claim has expired.
+// handleGrant starts the claimed request, unless its claim has expired or the upstream has
+// announced meanwhile that it takes no new requests.
 func (controller *Controller) handleGrant(now time.Duration, peer string, grant message.Grant) {
 	row, ok := controller.reservations.Get(grant.ID)
 	if !ok || !row.claimed || row.peer != peer || now >= row.deadline {
 		controller.refuseLateGrant(now, peer, row, ok, grant.ID)
 		return
 	}
+	if reason := controller.upstreamRefusal(); reason == message.Draining || reason == message.QueueFull {
+		controller.refuse(now, row, reason)
+		return
+	}
 	controller.removeReservation(grant.ID, row)
 	controller.startRun(now, row, grant.Payload)
 }
@@ -264,7 +269,7 @@
 		controller.refusals.Put(id, reason)
 		controller.refusalDue.Set(id, now+refusalTTL)
 	}
-	controller.send(peer, message.Refused{ID: id, Reason: reason, RetryAfter: controller.Load().Wait})
+	controller.send(peer, message.Refused{ID: id, Reason: reason, RetryAfter: controller.load(now).Wait})
 }
 
 // expireReservations refuses queued requests past their deadline and claims past
--- a/internal/core/admission/runs.go
+++ b/internal/core/admission/runs.go
@@ -90,6 +90,9 @@
 	if !ok || run.ended {
 		return
 	}
+	if received.Status != 0 {
+		controller.endTrial()
+	}
 	controller.observeLatency(now, run)
 	chunk := message.Chunk{ID: received.ID, Index: run.nextChunk, Data: received.Data, Status: received.Status, Header: received.Header}
 	run = run.WithChunk(now, chunk, controller.settings.ReplayBytes)
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -212,15 +212,31 @@
 }
 
 // retryDelay returns the delay to suggest to a caller: the shortest queue wait that
-// a sidecar of the class predicts, and at least minRetryAfter.
+// a sidecar of the class predicts, or without one that serves the shortest time for which an
+// upstream wants nothing, and at least minRetryAfter.
 func (router *Router) retryDelay(request event.Request) time.Duration {
-	shortest := time.Duration(0)
-	for i, candidate := range router.candidates(request) {
-		if i == 0 || candidate.Load.Wait < shortest {
-			shortest = candidate.Load.Wait
+	var waits []time.Duration
+	for _, candidate := range router.candidates(request) {
+		waits = append(waits, candidate.Load.Wait)
+	}
+	if len(waits) == 0 {
+		waits = router.backoffs(request)
+	}
+	if len(waits) == 0 {
+		return minRetryAfter
+	}
+	return max(slices.Min(waits), minRetryAfter)
+}
+
+// backoffs returns for how long the upstreams want nothing that asked for a backoff.
+func (router *Router) backoffs(request event.Request) []time.Duration {
+	var waits []time.Duration
+	for _, name := range router.connectable(request) {
+		if peer, ok := router.peers.Get(name); ok && peer.loadKnown && peer.load.Limit == 0 && peer.load.Wait > 0 {
+			waits = append(waits, peer.load.Wait)
 		}
 	}
-	return max(shortest, minRetryAfter)
+	return waits
 }
 
 // bind removes a request from the queue and binds it to a sidecar, which gets its
--- a/internal/core/simulation/leaving_test.go
+++ b/internal/core/simulation/leaving_test.go
@@ -34,6 +34,12 @@
 		}
 		simulation.members = members
 	},
+	"announced in a response": func(simulation *simulation, leaving *process) {
+		simulation.deliver(leaving, event.LeavingAnnounced{})
+	},
+	"asked for a backoff": func(simulation *simulation, leaving *process) {
+		simulation.deliver(leaving, event.BackoffRequested{For: time.Hour})
+	},
 	"sidecar killed": func(simulation *simulation, leaving *process) { simulation.kill(leaving, false) },
 	"sidecar killed without closing connections": func(simulation *simulation, leaving *process) { simulation.kill(leaving, true) },
 }
--- a/internal/node/dialect/dialect.go
+++ b/internal/node/dialect/dialect.go
@@ -81,12 +81,11 @@
 	Limit RateLimit
 }
 
-// Backoff is what a response says of a backoff: the time counts from the response, and counts
-// only if Named is true and Err nil. Err is why a named time is invalid.
+// Backoff is for how long from a response on an upstream wants nothing, 0 if it does not say
+// so. Err is why what it says is invalid.
 type Backoff struct {
-	Named bool
-	For   time.Duration
-	Err   error
+	For time.Duration
+	Err error
 }
 
 // RateLimit is what a response says of the upstream's rate limit. PerSecond is in requests
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -18,6 +19,7 @@
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/idempotency"
 	"endivepost/internal/node/httpserver"
+	"endivepost/internal/node/logevent"
 	"endivepost/internal/node/loop"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/node/upstream"
@@ -41,6 +43,8 @@
 	links      map[string]numberedLink
 	lastLink   uint64
 	up         bool
+	// inBackoff is set while the upstream wants nothing. It is not probed then.
+	inBackoff atomic.Bool
 }
 
 // Settings of a Sidecar. Listen is its address for entries and operators, Upstream the
@@ -282,9 +286,31 @@
 		sidecar.log("config-rejected").WithError(output.Err).Error()
 	case event.Drained:
 		close(sidecar.drained)
+	case event.StateChanged:
+		sidecar.handleStateChange(output)
 	}
 }
 
+// stateEvents maps what the upstream asks for to log events.
+var stateEvents = map[event.State]logevent.Name{
+	event.AnnouncedLeaving: logevent.UpstreamAnnouncedLeaving, event.BackoffStarted: logevent.UpstreamBackoff,
+	event.BackoffEnded: logevent.UpstreamBackoffEnded,
+}
+
+// handleStateChange logs and counts what the upstream asks for, and stops the probes while it
+// wants nothing.
+func (sidecar *Sidecar) handleStateChange(change event.StateChanged) {
+	switch change.State {
+	case event.BackoffStarted:
+		sidecar.inBackoff.Store(true)
+	case event.BackoffEnded:
+		sidecar.inBackoff.Store(false)
+	}
+	name := stateEvents[change.State]
+	sidecar.telemetry.Metrics.Tagged(map[string]string{"belief": string(name)}).Counter("beliefs").Inc(1)
+	sidecar.log(string(name)).WithFields(logrus.Fields{"source": change.Source.String(), "for-ms": change.For.Milliseconds()}).Info()
+}
+
 // probe checks the upstream at every probe interval.
 func (sidecar *Sidecar) probe(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
@@ -294,7 +320,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			sidecar.setUpstreamUp(sidecar.upstream.Check())
+			if !sidecar.inBackoff.Load() {
+				sidecar.setUpstreamUp(sidecar.upstream.Check())
+			}
 		}
 	}
 }
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -19,6 +19,7 @@
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/node/eventstream"
+	"endivepost/internal/node/retryafter"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/wire/message"
 )
@@ -62,6 +63,10 @@
 	HeaderPriority = "Endivepost-Priority"
 	// HeaderResumeOffset carries the number of events that the engine is to skip.
 	HeaderResumeOffset = "Endivepost-Resume-Offset"
+	// HeaderLeaving announces in a response, with the value 1, that the upstream leaves.
+	HeaderLeaving = "Endivepost-Leaving"
+
+	leavingValue = "1"
 )
 
 var (
@@ -70,7 +75,7 @@
 )
 
 // New returns an Upstream that calls post, from several goroutines, with ResponseChunk,
-// RunEnded and UpstreamChecked.
+// RunEnded, UpstreamChecked, LeavingAnnounced and BackoffRequested.
 func New(settings Settings, post func(event.Input)) *Upstream {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	shared := &http.Transport{
@@ -164,6 +169,7 @@
 		return upstream.failure(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	upstream.reportRequests(response)
 	upstream.post(event.ResponseChunk{ID: start.ID, Status: response.StatusCode, Header: message.HeadersOf(response.Header, excludedHeaders)})
 	err = upstream.relay(start, response, watchdog)
 	if err != nil {
@@ -175,6 +181,17 @@
 	return event.RunEnded{Outcome: message.Complete}
 }
 
+// reportRequests reports what the head of a response asks of this process: to send nothing
+// more, or nothing for a time. An invalid time is ignored.
+func (upstream *Upstream) reportRequests(response *http.Response) {
+	if response.Header.Get(HeaderLeaving) == leavingValue {
+		upstream.post(event.LeavingAnnounced{})
+	}
+	if backoff, err := retryafter.Parse(response); err == nil && backoff > 0 {
+		upstream.post(event.BackoffRequested{For: backoff})
+	}
+}
+
 func (upstream *Upstream) request(ctx context.Context, start event.StartRun) (*http.Request, error) {
 	payload := start.Payload
 	url := "http://" + upstream.settings.Address + payload.Path
@@ -272,7 +289,8 @@
 }
 
 // excludedHeaders are the fields of a response that apply to its connection only, and
-// those that the entry's HTTP server sets itself: Date and Content-Length.
+// those that the entry's HTTP server sets itself: Date and Content-Length. HeaderLeaving is
+// meant for the sidecar.
 var excludedHeaders = map[string]bool{
-	"Connection": true, "Transfer-Encoding": true, "Keep-Alive": true, "Date": true, "Content-Length": true,
+	"Connection": true, "Transfer-Encoding": true, "Keep-Alive": true, "Date": true, "Content-Length": true, HeaderLeaving: true,
 }
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -278,3 +280,56 @@
 		t.Fatalf("run at a closed port: got %+v, want it not started with reason %v", end, message.UpstreamDown)
 	}
 }
+
+// TestRequestsOfUpstreamAreReported guards against a sidecar that does not learn that its
+// upstream leaves or wants nothing for a time, and against a caller who gets what is meant
+// for the sidecar.
+func TestRequestsOfUpstreamAreReported(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name       string
+		leaving    string
+		retryAfter string
+		status     int
+		want       []event.Input
+	}{
+		{"leaving", "1", "", http.StatusOK, []event.Input{event.LeavingAnnounced{}}},
+		{"leaving in an error", "1", "", http.StatusInternalServerError, []event.Input{event.LeavingAnnounced{}}},
+		{"backoff", "", "1.5", http.StatusServiceUnavailable, []event.Input{event.BackoffRequested{For: 1500 * time.Millisecond}}},
+		{"both", "1", "2", http.StatusServiceUnavailable, []event.Input{event.LeavingAnnounced{}, event.BackoffRequested{For: 2 * time.Second}}},
+		{"neither", "0", "soon", http.StatusServiceUnavailable, nil},
+		{"another status", "", "2", http.StatusTooManyRequests, nil},
+	}
+	for _, row := range cases {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set(upstream.HeaderLeaving, row.leaving)
+				writer.Header().Set("Retry-After", row.retryAfter)
+				writer.WriteHeader(row.status)
+			}))
+			defer server.Close()
+			inputs := make(chan event.Input, 8)
+			upstream.New(upstream.Settings{
+				Address: server.Listener.Addr().String(), Uptime: func() time.Duration { return 0 }, FirstByteTimeout: time.Minute, StallTimeout: time.Minute,
+				Tracer: noop.NewTracerProvider().Tracer(""),
+			}, func(input event.Input) { inputs <- input }).Start(request())
+			var got []event.Input
+			for input := range inputs {
+				if _, ended := input.(event.RunEnded); ended {
+					break
+				}
+				chunk, ok := input.(event.ResponseChunk)
+				if !ok {
+					got = append(got, input)
+				}
+				if slices.ContainsFunc(chunk.Header, func(header message.Header) bool { return header.Name == upstream.HeaderLeaving }) {
+					t.Errorf("got the chunk %+v, want no %s in it", chunk, upstream.HeaderLeaving)
+				}
+			}
+			if !reflect.DeepEqual(got, row.want) {
+				t.Errorf("got %+v, want %+v", got, row.want)
+			}
+		})
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -78,6 +78,12 @@
   's/controller\.draining = true/controller.draining = false/' $proof TestLeavingUpstreamGetsNoNewWork
 mutant "leaving: the list's word is not taken" internal/core/router/peers.go \
   's/peer\.leaving = peer\.leaving \|\| member\.Leaving/peer.leaving = peer.leaving/' $proof TestLeavingUpstreamGetsNoNewWork
+mutant "leaving: an announcement changes nothing at the sidecar" internal/core/admission/upstream_requests.go \
+  's/controller\.upstreamLeaving = true/controller.upstreamLeaving = false/' ./internal/core/admission TestLeavingUpstreamIsSentMore
+mutant "backoff: a granted request is sent at the sidecar" internal/core/admission/reservations.go \
+  's/reason == message\.Draining \|\| reason == message\.QueueFull/false/' ./internal/core/admission 'SentMore'
+mutant "backoff: no trial at the sidecar" internal/core/admission/dispatch.go \
+  's/ && !controller\.awaitsTrial\(now\)//' ./internal/core/admission TestUpstreamIsSentMoreInBackoff
 mutant "leaving: silence is not noticed" internal/core/router/peers.go \
   's/now-peer\.heardAt > router\.settings\.HeartbeatTimeout/false/' $proof TestBlackholedConnectionIsReplaced
 mutant "order: a full queue refuses higher tiers" internal/policy/tiered/tiered.go \
