Do not take a response to another request for a crash of the upstream

Callers whose request may be repeated got 502 with another upstream free: a faulty upstream wrote an earlier refusal without an ID once more on a kept connection, or one with an ID five times. Each counted as an upstream that had crashed; after two, what the requests had in common, such as their account, was blamed for it and nothing of it was sent again. Cause: an answer that cannot be identified was the same as none. Change: it is a result of its own, unusable: the request may have run and is repeated if it may be, the upstream counts as failed in the outlier detection but not as crashed. So does a response that does not go on with a broken stream.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -99,6 +99,9 @@
 	case event.Interrupted, event.Stopped:
 		row.mayHaveRun = true
 		dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.suspected(now, row), message.UpstreamDown)
+	case event.Unusable:
+		row.mayHaveRun = true
+		dispatcher.retry(now, row, row.mayRepeat(now), message.UpstreamDown)
 	case event.TimedOut:
 		row.mayHaveRun = true
 		dispatcher.abort(now, row, message.DeadlinePassed)
@@ -107,7 +110,8 @@
 
 // updateHealth updates the upstream's health from the result of an attempt.
 func (dispatcher *Dispatcher) updateHealth(now time.Duration, row requestRow, ended event.AttemptEnded) {
-	if ended.Result == event.Completed || ended.Result == event.Declined || ended.Result == event.UpstreamError {
+	switch ended.Result {
+	case event.Completed, event.Declined, event.UpstreamError, event.Unusable:
 		dispatcher.removeFalseCrashes(now, row.upstream)
 	}
 	upstream := dispatcher.upstream(row.upstream)
@@ -117,7 +121,7 @@
 		upstream = upstream.WithSuccess(now, dispatcher.watched)
 	case event.ConnectFailed, event.Interrupted:
 		upstream = upstream.WithFailure(now)
-	case event.Declined, event.UpstreamError:
+	case event.Declined, event.UpstreamError, event.Unusable:
 		upstream = upstream.WithActivity(dispatcher.watched)
 	case event.Misdirected:
 		dispatcher.membership.MarkAddressReused(now, row.upstream)
@@ -136,7 +140,7 @@
 	switch {
 	case ended.Result == event.Completed:
 		dispatcher.outliers.Observe(now, row.upstream, false)
-	case ended.Result == event.UpstreamError && ended.Status != http.StatusGatewayTimeout:
+	case ended.Result == event.Unusable, ended.Result == event.UpstreamError && ended.Status != http.StatusGatewayTimeout:
 		dispatcher.outliers.Observe(now, row.upstream, true)
 	}
 }
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -113,6 +113,8 @@
 		{nonIdempotentClass, []event.AttemptResult{declined, interrupted}, message.Unknown, 2},
 		{nonIdempotentClass, []event.AttemptResult{upstreamErr}, message.Failed, 1},
 		{nonIdempotentClass, []event.AttemptResult{timedOut}, message.Unknown, 1},
+		{nonIdempotentClass, []event.AttemptResult{declined, event.Unusable}, message.Unknown, 2},
+		{idempotentClass, []event.AttemptResult{event.Unusable, event.Unusable, completed}, message.Complete, 3},
 		{nonIdempotentClass, []event.AttemptResult{notSent}, message.NotRun, 0},
 		{idempotentClass, []event.AttemptResult{interrupted, upstreamErr, completed}, message.Complete, 3},
 		{idempotentClass, []event.AttemptResult{interrupted, declined, declined}, message.Unknown, 3},
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -188,12 +188,15 @@
 	// Withdrawn means that the upstream was found not to take requests any more before
 	// anything was sent.
 	Withdrawn
+	// Unusable means that the upstream sent something that is no answer to the request,
+	// such as the response to an earlier one: the request may have run.
+	Unusable
 )
 
 // attemptResultNames are the results in logs, in the order of the constants. Some
 // differ from the constants' names: tools that read logs match the names here.
 var attemptResultNames = [...]string{
-	"", "whole", "unreached", "declined", "mistaken", "erred", "broken", "stopped", "expired", "withheld", "abandoned", "withdrawn",
+	"", "whole", "unreached", "declined", "mistaken", "erred", "broken", "stopped", "expired", "withheld", "abandoned", "withdrawn", "unusable",
 }
 
 // String returns the kebab-case name used in logs.
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -114,8 +114,8 @@
 		return event.TimedOut
 	case errors.Is(context.Cause(ctx), errStopped):
 		return event.Stopped
-	case errors.Is(err, errNotContinued):
-		return event.UpstreamError
+	case errors.Is(err, errNotContinued), errors.Is(err, exchange.ErrOtherAnswer):
+		return event.Unusable
 	}
 	return event.Interrupted
 }
@@ -182,7 +182,7 @@
 	case !info.Signed && answer.StatusCode < http.StatusBadRequest:
 		return event.Interrupted, errUnsigned
 	case inflight.started && answer.StatusCode == http.StatusOK && !inflight.hasTypeOfStream(answer):
-		return event.UpstreamError, errNotContinued
+		return event.Unusable, errNotContinued
 	case inflight.resolved.Class.Streamed && answer.StatusCode == http.StatusOK:
 		err := inflight.relay(attempt, answer)
 		complete = err == nil
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -79,6 +79,9 @@
 	// ErrNoAnswer means that at least part of the request may have been sent and no
 	// response that belongs to it was received.
 	ErrNoAnswer = errors.New("the request may have been sent and no response to it was received")
+	// ErrOtherAnswer is the cause of an ErrNoAnswer if the upstream did respond, but to
+	// another request as far as can be told.
+	ErrOtherAnswer = errors.New("no response is identified as that to the request")
 )
 
 // A connection breaks if keepAliveCount probes in a row are not acknowledged: the first
--- a/internal/node/exchange/response_head.go
+++ b/internal/node/exchange/response_head.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -23,8 +24,8 @@
 
 var (
 	errTooManyInformational = errors.New("too many informational responses")
-	errTooManyLate          = errors.New("too many responses to earlier requests on the connection")
-	errUnidentified         = errors.New("the response has no request ID and may belong to an earlier request")
+	errTooManyLate          = fmt.Errorf("%w: too many responses to earlier requests on the connection", ErrOtherAnswer)
+	errUnidentified         = fmt.Errorf("%w: the response has no request ID and may belong to an earlier request", ErrOtherAnswer)
 )
 
 // read returns the head of the response to the request. It skips late responses to
