Pass on 503, 429 and 408 only if the upstream states that it did not run the request

Callers were told not-run for requests of which nobody knew: an upstream's 503, 429 or 408 without X-Not-Executed was passed on as it was, and callers take these statuses as a promise that the request has not run. Change: without the statement such a response is no usable answer: a request that may be repeated goes to another upstream, any other ends with 502 and outcome unknown.

--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -32,6 +32,7 @@
 var (
 	errDeadline           = errors.New("the deadline of the request has passed")
 	errUnsigned           = errors.New("the upstream's response is not signed")
+	errUnstated           = errors.New("the upstream's status means not-run, but the response does not state it")
 	errNoEvents           = errors.New("the upstream closed the connection before any event of the stream")
 	errTooLarge           = errors.New("the upstream's response is too large")
 	errCallerDisconnected = errors.New("the response could not be written to the caller")
@@ -114,7 +115,7 @@
 		return event.TimedOut
 	case errors.Is(context.Cause(ctx), errStopped):
 		return event.Stopped
-	case errors.Is(err, errNotContinued), errors.Is(err, exchange.ErrOtherAnswer):
+	case errors.Is(err, errNotContinued), errors.Is(err, errUnstated), errors.Is(err, exchange.ErrOtherAnswer):
 		return event.Unusable
 	}
 	return event.Interrupted
@@ -179,6 +180,9 @@
 			return event.Misdirected, nil
 		}
 		return event.Declined, nil
+	case impliesNotRun(answer.StatusCode):
+		complete = answer.Drain()
+		return event.Unusable, errUnstated
 	case !info.Signed && answer.StatusCode < http.StatusBadRequest:
 		return event.Interrupted, errUnsigned
 	case inflight.started && answer.StatusCode == http.StatusOK && !inflight.hasTypeOfStream(answer):
@@ -211,6 +215,12 @@
 	return event.Completed, buffered.write(inflight)
 }
 
+// impliesNotRun reports whether callers take the status as a promise that the request did
+// not run and may be sent again.
+func impliesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
+
 // readResponse reads a response of at most limit bytes into memory. The error is
 // errTooLarge if more follow; the response then has the first limit + 1 bytes.
 func readResponse(answer *exchange.Answer, limit int64) (*bufferedResponse, error) {
