Give each request to the upstream beside a sidecar a connection of its own

Callers got the response to another request, or a refusal of one: an upstream wrote an earlier response once more on a kept connection after the next request had arrived. Nothing in a response says to which request it belongs, and net/http takes the first one that comes. Only requests that are not idempotent had a connection of their own. Change: all have one.

--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -25,19 +25,16 @@
 )
 
 // Upstream runs requests over HTTP, each in its own goroutine, and posts response
-// chunks and the end of each run. It never runs a request twice. On a broken reused
-// connection net/http would retry a request that carries an Idempotency-Key or has no
-// body: non-idempotent requests therefore use a new connection each, and request
-// bodies are not rewindable.
+// chunks and the end of each run. Each request uses a connection of its own: on a reused
+// one a second copy of an earlier response would be taken for the next response, and
+// net/http would retry a request that carries an Idempotency-Key or has no body.
 type Upstream struct {
 	settings Settings
-	// shared reuses connections, single opens a new one for each request.
-	shared  *http.Client
-	single  *http.Client
-	post    func(event.Input)
-	mutex   sync.Mutex
-	cancels map[message.RequestID]context.CancelFunc
-	stopped map[message.RequestID]bool
+	client   *http.Client
+	post     func(event.Input)
+	mutex    sync.Mutex
+	cancels  map[message.RequestID]context.CancelFunc
+	stopped  map[message.RequestID]bool
 }
 
 // Settings of an Upstream. Address is host:port. Uptime is the clock for
@@ -53,11 +50,10 @@
 }
 
 const (
-	readBytes          = 32 << 10
-	connectTimeout     = 2 * time.Second
-	maxIdleConnections = 1024
-	maxHeaderBytes     = 64 << 10
-	doneEvent          = "data: [DONE]"
+	readBytes      = 32 << 10
+	connectTimeout = 2 * time.Second
+	maxHeaderBytes = 64 << 10
+	doneEvent      = "data: [DONE]"
 
 	// HeaderPriority carries the request's tier to the engine; 1 is the highest.
 	HeaderPriority = "Endivepost-Priority"
@@ -78,15 +74,12 @@
 // RunEnded, UpstreamChecked, LeavingAnnounced and BackoffRequested.
 func New(settings Settings, post func(event.Input)) *Upstream {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	shared := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	single := shared.Clone()
-	single.DisableKeepAlives = true
 	return &Upstream{
 		settings: settings,
-		shared:   &http.Client{Transport: shared},
-		single:   &http.Client{Transport: single},
+		client:   &http.Client{Transport: transport},
 		post:     post,
 		cancels:  make(map[message.RequestID]context.CancelFunc),
 		stopped:  make(map[message.RequestID]bool),
@@ -160,11 +153,7 @@
 	if err != nil || upstream.settings.Uptime() > start.NotAfter {
 		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.LeaseExpired}
 	}
-	client := upstream.shared
-	if start.Payload.NonIdempotent {
-		client = upstream.single
-	}
-	response, err := client.Do(request)
+	response, err := upstream.client.Do(request)
 	if err != nil {
 		return upstream.failure(ctx, err)
 	}
