Return a redirection instead of following it from the sidecar

A request ran where no caller had sent it, and that response took the place of the upstream's: the sidecar's client followed redirections, so one request became two, and an error with a Location in the middle of a stream another service's text. Change: a redirection is the response. Result: TestRedirectionIsNotFollowed failed before for statuses 301, 302 and 303, and for 307 and 308 without a body (one request elsewhere each), and passes now.

--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -79,13 +79,19 @@
 	}
 	return &Upstream{
 		settings: settings,
-		client:   &http.Client{Transport: transport},
+		client:   &http.Client{Transport: transport, CheckRedirect: passOnRedirection},
 		post:     post,
 		cancels:  make(map[message.RequestID]context.CancelFunc),
 		stopped:  make(map[message.RequestID]bool),
 	}
 }
 
+// passOnRedirection makes the client return a redirection as the response: it is for the
+// caller to follow.
+func passOnRedirection(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
 // Start runs a request in the background. The run ends with a RunEnded.
 func (upstream *Upstream) Start(start event.StartRun) {
 	ctx, cancel := context.WithCancel(context.Background())
