Resume a stream at a sidecar only with the events of a stream

Callers found a JSON error or a page in the middle of their stream, which then ended as complete: an upstream answered the resumed request with status 200 and no stream, with 204 or with an event of type error, and the sidecar passed on the body as further chunks. Only statuses from 400 on were noticed, and ended the stream although a third upstream was left. Change: a resumed run whose response is no stream of events, or begins with an error event, is incomplete and passes nothing on, nor does it count as a crash; comments and other text before its first event are dropped.

--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -54,6 +54,8 @@
 	connectTimeout = 2 * time.Second
 	maxHeaderBytes = 64 << 10
 	doneEvent      = "data: [DONE]"
+	// errorEvent is the type of an event that reports an error.
+	errorEvent = "error"
 
 	// HeaderPriority carries the request's tier to the engine; 1 is the highest.
 	HeaderPriority = "Endivepost-Priority"
@@ -68,6 +70,8 @@
 var (
 	errStalled   = errors.New("upstream sent no data within its timeout")
 	errTruncated = errors.New("stream ended without the [DONE] event")
+	// errNotResumed means that the response does not go on with the stream that broke off.
+	errNotResumed = errors.New("upstream did not resume the stream")
 )
 
 // New returns an Upstream that calls post, from several goroutines, with ResponseChunk,
@@ -165,6 +169,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	upstream.reportRequests(response)
+	if start.ResumeFrom > 0 && (response.StatusCode != http.StatusOK || !isEventStream(response)) {
+		return upstream.failure(ctx, errNotResumed)
+	}
 	upstream.post(event.ResponseChunk{ID: start.ID, Status: response.StatusCode, Header: message.HeadersOf(response.Header, excludedHeaders)})
 	err = upstream.relay(start, response, watchdog)
 	if err != nil {
@@ -214,7 +221,7 @@
 
 // failure maps an error to the end of a run. If the connection could not be opened,
 // nothing was sent. A stall or a cancelled run, for which the context has a cause, is not
-// a crash. Any other error counts as a crash of the upstream.
+// a crash, nor is a response that does not resume the stream. Any other error counts as a crash of the upstream.
 func (upstream *Upstream) failure(ctx context.Context, err error) event.RunEnded {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
@@ -222,7 +229,7 @@
 		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.UpstreamDown}
 	}
 	ended := event.RunEnded{Outcome: message.Incomplete, Reason: message.UpstreamDown, Crashed: true}
-	if context.Cause(ctx) != nil {
+	if context.Cause(ctx) != nil || errors.Is(err, errNotResumed) {
 		ended.Crashed = false
 	}
 	return ended
@@ -230,7 +237,7 @@
 
 func (upstream *Upstream) relay(start event.StartRun, response *http.Response, watchdog *time.Timer) error {
 	if isEventStream(response) {
-		return upstream.relayEvents(start.ID, response.Body, watchdog)
+		return upstream.relayEvents(start, response.Body, watchdog)
 	}
 	return upstream.relayBytes(start.ID, response.Body, watchdog)
 }
@@ -258,29 +265,38 @@
 
 // relayEvents posts each server-sent event as one chunk. A stream is complete only with
 // the [DONE] event.
-func (upstream *Upstream) relayEvents(id message.RequestID, body io.Reader, watchdog *time.Timer) error {
+func (upstream *Upstream) relayEvents(start event.StartRun, body io.Reader, watchdog *time.Timer) error {
 	reader := eventstream.New(body)
 	done := false
-	for {
-		data, err := reader.Next()
-		if len(data) > 0 {
-			// Comments keep a connection open and are no progress.
-			if eventstream.HasData(data) {
-				watchdog.Reset(upstream.settings.StallTimeout)
-			}
-			upstream.post(event.ResponseChunk{ID: id, Data: data})
-			done = done || bytes.HasPrefix(data, []byte(doneEvent))
-		}
-		if errors.Is(err, io.EOF) && !done {
-			return errTruncated
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
+	data, err := firstEvent(reader, start.ResumeFrom > 0)
+	for ; err == nil; data, err = reader.Next() {
+		// Comments keep a connection open and are no progress.
+		if eventstream.HasData(data) {
+			watchdog.Reset(upstream.settings.StallTimeout)
 		}
+		upstream.post(event.ResponseChunk{ID: start.ID, Data: data})
+		done = done || bytes.HasPrefix(data, []byte(doneEvent))
+	}
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case !done:
+		return errTruncated
+	}
+	return nil
+}
+
+// firstEvent returns the first event or comment to post. In a resumed stream that is the
+// first event with data, and an event that reports an error does not resume it.
+func firstEvent(reader *eventstream.Reader, resumed bool) ([]byte, error) {
+	data, err := reader.Next()
+	for resumed && err == nil && !eventstream.HasData(data) {
+		data, err = reader.Next()
+	}
+	if resumed && err == nil && eventstream.Type(data) == errorEvent {
+		return nil, errNotResumed
 	}
+	return data, err
 }
 
 // excludedHeaders are the fields of a response that apply to its connection only, and
