Begin a stream anew if only the head of its response had arrived

Callers could get the head of one response over the data of another: a sidecar was lost when its head, but no data, had been delivered; the next sidecar ran the request from the start, its head was dropped as a duplicate, and a JSON error with status 200 came as the data of a stream. An error status ended the request as incomplete, though nothing had been written to the caller. Result: TestStreamWithoutDataStartsOver failed before for statuses 200 and 500 and passes now.

--- a/internal/core/router/responses.go
+++ b/internal/core/router/responses.go
@@ -97,8 +97,8 @@
 }
 
 // retry places an idempotent request again, at another sidecar if there is one, with
-// a new deadline. A stream resumes after its last delivered chunk, any other response
-// starts over. A non-idempotent request is never sent a second time. The request ends
+// a new deadline. A stream resumes after its last delivered chunk; any other response, and a
+// stream without data so far, starts over. A non-idempotent request is never sent a second time. The request ends
 // instead if it may have crashed too many upstreams or if the retry budget is empty.
 func (router *Router) retry(now time.Duration, row requestRow, reason message.Reason) {
 	row.mayHaveRun = true
@@ -123,7 +123,8 @@
 	if row.request.Payload.Stream {
 		// Chunk 0 holds the status and header and no data.
 		row.resumeFrom = max(row.nextChunk-1, 0)
-	} else {
+	}
+	if row.resumeFrom == 0 {
 		row.nextChunk = 0
 	}
 	if len(router.untried(row)) == 0 {
--- a/internal/core/router/router_test.go
+++ b/internal/core/router/router_test.go
@@ -172,3 +172,30 @@
 		}
 	}
 }
+
+// TestStreamWithoutDataStartsOver guards against the head of one response over the body of
+// another: a caller who has no data of a stream yet gets the second response from its head on.
+func TestStreamWithoutDataStartsOver(t *testing.T) {
+	for _, status := range []int{200, 500} {
+		entry := newPair("v1", "v1")
+		class := guide
+		class.Streamed, class.Resumable = true, true
+		id := message.NewRequestID(1, 2)
+		entry.Step(now, []event.Input{event.Submitted{Request: event.Request{ID: id, Class: class, Payload: message.Payload{Stream: true}}}})
+		first, second := id.WithAttempt(1), id.WithAttempt(2)
+		step := func(peer string, messages ...message.Message) (outputs []event.Output) {
+			for _, body := range messages {
+				outputs = append(outputs, entry.Step(now, []event.Input{event.Received{Peer: peer, Link: 1, Message: body}})...)
+			}
+			return outputs
+		}
+		step("up-1", message.Claim{ID: first}, message.Chunk{ID: first, Status: 200}, message.End{ID: first, Chunks: 1, Outcome: message.Incomplete})
+		outputs := step("up-2", message.Claim{ID: second}, message.Chunk{ID: second, Status: status}, message.Chunk{ID: second, Index: 1},
+			message.End{ID: second, Chunks: 2, Outcome: message.Complete})
+		heads := count(outputs, func(deliver event.Deliver) bool { return deliver.Chunk.Index == 0 && deliver.Chunk.Status == status })
+		ends := count(outputs, func(finish event.Finish) bool { return finish.Outcome == message.Complete })
+		if heads != 1 || count(outputs, anyOutput[event.Deliver]) != 2 || ends != 1 {
+			t.Errorf("status %d: got outputs %+v, want the head, one chunk and a complete end", status, outputs)
+		}
+	}
+}
