Count only events of a stream as chunks

Callers of a stream that went on at another sidecar missed an event for each comment before the break: a comment was a chunk of its own, and the upstream skips as many events as there were chunks. Change: comments travel in the chunk of the event behind them; those before the [DONE] event are dropped. A comment thus reaches the caller only with the next event. Result: TestCommentsAreNoChunks failed before (8 chunks for the head and 3 events) and passes now (4).

--- a/internal/node/upstream/resumed_test.go
+++ b/internal/node/upstream/resumed_test.go
@@ -66,3 +66,20 @@
 		})
 	}
 }
+
+// TestCommentsAreNoChunks guards against a resumed stream that lacks events: the upstream skips
+// as many events as there were chunks, and comments are no events.
+func TestCommentsAreNoChunks(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(stream(": hello\n\n", "data: a\n\n", ": still here\n\n", "retry: 5\n\n", "data: b\n\n", ": bye\n\n", "data: [DONE]\n\n"))
+	defer server.Close()
+	chunks, end := run(t, server.Listener.Addr().String(), request())
+	text := ""
+	for _, chunk := range chunks {
+		text += string(chunk.Data)
+	}
+	const want = ": hello\n\ndata: a\n\n: still here\n\nretry: 5\n\ndata: b\n\ndata: [DONE]\n\n"
+	if len(chunks) != 4 || text != want || end.Outcome != message.Complete {
+		t.Errorf("got %d chunks, %q and %+v, want the head and 3 events, with the comments before their data", len(chunks), text, end)
+	}
+}
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -263,19 +263,27 @@
 	}
 }
 
-// relayEvents posts each server-sent event as one chunk. A stream is complete only with
-// the [DONE] event.
+// relayEvents posts each server-sent event as one chunk, together with the comments before
+// it: a resumed stream skips as many events as there were chunks. A stream is complete only
+// with the [DONE] event.
 func (upstream *Upstream) relayEvents(start event.StartRun, body io.Reader, watchdog *time.Timer) error {
 	reader := eventstream.New(body)
 	done := false
+	var comments []byte
 	data, err := firstEvent(reader, start.ResumeFrom > 0)
 	for ; err == nil; data, err = reader.Next() {
 		// Comments keep a connection open and are no progress.
-		if eventstream.HasData(data) {
-			watchdog.Reset(upstream.settings.StallTimeout)
+		if !eventstream.HasData(data) {
+			comments = append(comments, data...)
+			continue
+		}
+		watchdog.Reset(upstream.settings.StallTimeout)
+		if bytes.HasPrefix(data, []byte(doneEvent)) {
+			done = true
+			comments = nil
 		}
-		upstream.post(event.ResponseChunk{ID: start.ID, Data: data})
-		done = done || bytes.HasPrefix(data, []byte(doneEvent))
+		upstream.post(event.ResponseChunk{ID: start.ID, Data: append(comments, data...)})
+		comments = nil
 	}
 	switch {
 	case !errors.Is(err, io.EOF):
