--- a/platform/nesting.go
+++ b/internal/data/nesting/nesting.go
@@ -1,13 +1,14 @@
-package platform
+// Package nesting bounds the nesting of JSON texts that another process may have written.
+package nesting
 
-// maxNesting is the deepest nesting of arrays and objects in a JSON text that is decoded. The
-// store's own texts have fewer levels.
-const maxNesting = 32
+// MaxLevels is the deepest nesting of arrays and objects in a JSON text that is decoded. The
+// texts that are read have fewer levels.
+const MaxLevels = 32
 
-// flatten returns the JSON text with null in place of each value that is nested more than
-// maxNesting levels deep, and whether there was one. The decoder would reject the whole
+// Flatten returns the JSON text with null in place of each value that is nested more than
+// MaxLevels levels deep, and whether there was one. The decoder would reject the whole
 // text for a value thousands of levels deep.
-func flatten(text []byte) (flat []byte, cut bool) {
+func Flatten(text []byte) (flat []byte, cut bool) {
 	depth, start := 0, 0
 	for i := 0; i < len(text); i++ {
 		switch text[i] {
@@ -15,13 +16,13 @@
 			i += stringLength(text[i:]) - 1
 		case '[', '{':
 			depth++
-			if depth == maxNesting+1 {
+			if depth == MaxLevels+1 {
 				flat = append(append(flat, text[start:i]...), "null"...)
 				cut = true
 			}
 		case ']', '}':
 			depth--
-			if depth == maxNesting {
+			if depth == MaxLevels {
 				start = i + 1
 			}
 		}
@@ -29,7 +30,7 @@
 	switch {
 	case !cut:
 		return text, false
-	case depth > maxNesting:
+	case depth > MaxLevels:
 		return flat, true
 	}
 	return append(flat, text[start:]...), true
--- a/platform/nesting_internal_test.go
+++ b/internal/data/nesting/nesting_test.go
@@ -1,13 +1,23 @@
-package platform
+package nesting_test
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"endivepost/internal/data/nesting"
 )
 
+func ExampleFlatten() {
+	deep := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	flat, cut := nesting.Flatten([]byte(`{"deep": [1, {"further": ` + deep + `}]}`))
+	fmt.Println(len(flat), cut, json.Valid(flat))
+	// Output: 90 true true
+}
+
 // TestFlatten guards against a text whose deep values make the decoder fail, and against
 // changing any other text.
 func TestFlatten(t *testing.T) {
@@ -25,13 +35,13 @@
 			}
 			return open + leaf.Draw(t, "leaf") + end
 		}
-		levels := rapid.IntRange(0, 2*maxNesting).Draw(t, "levels")
+		levels := rapid.IntRange(0, 2*nesting.MaxLevels).Draw(t, "levels")
 		text := `{"before": ` + value(3) + `, "deep": ` + value(levels) + `, "after": [` + leaf.Draw(t, "last") + `]}`
-		flat, cut := flatten([]byte(text))
+		flat, cut := nesting.Flatten([]byte(text))
 		if !json.Valid(flat) {
 			t.Fatalf("got %s of %s, want JSON", flat, text)
 		}
-		if deep := levels+1 > maxNesting; cut != deep || !deep && string(flat) != text {
+		if deep := levels+1 > nesting.MaxLevels; cut != deep || !deep && string(flat) != text {
 			t.Fatalf("got cut %t and %s of %s, want cut %t", cut, flat, text, deep)
 		}
 		var fields map[string]json.RawMessage
@@ -48,7 +58,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		flat, cut := flatten(text)
+		flat, cut := nesting.Flatten(text)
 		if !cut && string(flat) != string(text) {
 			t.Errorf("got %q of %q, want it unchanged", flat, text)
 		}
