Use the other VMs of a list with an entry that cannot be used

An entry with sidecars kept to its former list of VMs, or had none after its start, if one entry of the published list was of another type or nested too deeply, and tried to reach VMs without a name, an address or a port in range. Change: entries are parsed one by one, must have a name and host:port with a port from 1 to 65535, and the others hold; the rejected ones are logged.

--- a/internal/command/verbs/operator.go
+++ b/internal/command/verbs/operator.go
@@ -71,7 +71,7 @@
 
 // listedEntries returns the entries in the published list of VMs.
 func listedEntries(ctx context.Context, base string) ([]event.Member, error) {
-	members, err := platform.New(base).Members(ctx)
+	members, _, err := platform.New(base).Members(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/entry/polling.go
+++ b/internal/node/entry/polling.go
@@ -40,7 +40,10 @@
 // pollMembers posts the published list of VMs at every list interval.
 func (entry *Entry) pollMembers(ctx context.Context) {
 	for ctx.Err() == nil {
-		members, err := entry.platform.Members(ctx)
+		members, rejected, err := entry.platform.Members(ctx)
+		if rejected != nil {
+			entry.log("list-entries-rejected").WithError(rejected).Warn()
+		}
 		if err != nil {
 			entry.log("list-unavailable").WithError(err).Warn()
 		} else {
--- a/internal/node/platform/platform.go
+++ b/internal/node/platform/platform.go
@@ -8,12 +8,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"endivepost/internal/config/document"
 	"endivepost/internal/core/event"
+	"endivepost/internal/data/nesting"
 )
 
 // Client reads from the configuration service over HTTP. The error of a failed request
@@ -50,16 +52,43 @@
 	return client.get(ctx, path, wait+readTimeout, document.MaxBytes)
 }
 
-// Members returns the published list of VMs, which may be out of date.
-func (client *Client) Members(ctx context.Context) (members []event.Member, err error) {
+// Members returns the published list of VMs, which may be out of date. Entries that cannot be
+// used are left out and returned as rejected.
+func (client *Client) Members(ctx context.Context) (members []event.Member, rejected, err error) {
 	raw, err := client.get(ctx, "/v1/vms", readTimeout, maxListBytes)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	flat, _ := nesting.Flatten(raw)
+	var entries []json.RawMessage
+	if err := json.Unmarshal(flat, &entries); err != nil {
+		return nil, nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	for i, entry := range entries {
+		member, err := parseMember(entry)
+		if err != nil {
+			rejected = errors.Join(rejected, fmt.Errorf("VM %d of the list: %w", i, err))
+			continue
+		}
+		members = append(members, member)
+	}
+	return members, rejected, nil
+}
+
+// parseMember parses one entry of the list of VMs, which must have a name and an address.
+func parseMember(raw []byte) (member event.Member, err error) {
+	if err := json.Unmarshal(raw, &member); err != nil {
+		return event.Member{}, err
+	}
+	host, port, err := net.SplitHostPort(member.Address)
+	if err != nil {
+		return event.Member{}, err
 	}
-	if err := json.Unmarshal(raw, &members); err != nil {
-		return nil, fmt.Errorf("list of VMs: %w", err)
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || number == 0 || host == "" || member.Name == "" {
+		return event.Member{}, fmt.Errorf("got name %q and address %q, want a name and host:port", member.Name, member.Address)
 	}
-	return members, nil
+	return member, nil
 }
 
 func (client *Client) get(ctx context.Context, path string, timeout time.Duration, maxBytes int64) (raw []byte, err error) {
