--- a/internal/policy/enginechoice/enginechoice_test.go
+++ b/internal/policy/enginechoice/enginechoice_test.go
@@ -1,6 +1,7 @@
 package enginechoice_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -54,3 +55,17 @@
 		t.Errorf("no candidates: got candidate %d, want -1", got)
 	}
 }
+
+// TestChooseWithOddBatch guards against a batch of an impossible size that makes an engine with
+// requests cheaper than an idle one, or its cost no number.
+func TestChooseWithOddBatch(t *testing.T) {
+	for _, batch := range []int{math.MinInt, -1, 0, 1, math.MaxInt} {
+		busy, idle := enginechoice.Candidate{Batch: batch, Running: 3}, enginechoice.Candidate{Batch: batch}
+		if got := enginechoice.Choose(enginechoice.Request{}, []enginechoice.Candidate{busy, idle}); got != 1 {
+			t.Errorf("batch %d: got engine %d, want the idle one", batch, got)
+		}
+		if cost := busy.Cost(enginechoice.Request{}); math.IsNaN(cost) || math.IsInf(cost, 0) || cost < 0 {
+			t.Errorf("batch %d: got cost %g, want a number from 0 on", batch, cost)
+		}
+	}
+}
--- a/internal/wire/message/message_test.go
+++ b/internal/wire/message/message_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,6 +84,28 @@
 	}
 }
 
+// TestDecodeOddFrames guards against a frame that ends the process or takes its memory: values
+// nested very deeply, and lengths far beyond the frame.
+func TestDecodeOddFrames(t *testing.T) {
+	const levels = 400_000
+	for name, body := range map[string]string{
+		"nested arrays":            strings.Repeat("\x81", levels) + "\x00",
+		"nested endless arrays":    strings.Repeat("\x9f", levels),
+		"nested maps":              strings.Repeat("\xa1\x01", levels) + "\x00",
+		"nested tags":              strings.Repeat("\xc1", levels) + "\x00",
+		"a field of nested arrays": "\xa1\x01" + strings.Repeat("\x81", levels) + "\x00",
+		"an array of 2^62 values":  "\x9b\x40\x00\x00\x00\x00\x00\x00\x00",
+		"a map of 2^62 values":     "\xbb\x40\x00\x00\x00\x00\x00\x00\x00",
+		"bytes of 2^62":            "\x5b\x40\x00\x00\x00\x00\x00\x00\x00",
+	} {
+		for kind := range 24 {
+			if decoded, err := message.Decode([]byte("\x82" + string([]byte{byte(kind)}) + body)); err == nil {
+				t.Errorf("%s as the body of kind %d: got %+v, want an error", name, kind, decoded)
+			}
+		}
+	}
+}
+
 func ExampleRequestID_WithAttempt() {
 	id := message.NewRequestID(1, 2)
 	fmt.Println(id.WithAttempt(3))
