Leave streams with a silent sidecar that have nowhere to go

Callers saw their streams end with an error event while a sidecar was paused for longer than the heartbeat timeout and the reattach timeout together. Cause: a sidecar that does not answer counted as lost like one that is gone; its streams were retried, also into a full queue or for a sidecar that was paused itself, or ended with the retry budget. Change: a dial says whether it timed out; work of a sidecar that is only silent moves only to a free slot and with a retry left, and else waits for it. A refused dial, a restart and the list of VMs still end the wait.

--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -30,10 +30,12 @@
 	Boot uint64
 }
 
-// LinkClosed reports that a connection ended or that a dial failed.
+// LinkClosed reports that a connection ended or that a dial failed. TimedOut is set if the
+// peer sent nothing: it may be paused, whereas one that refuses a dial is gone.
 type LinkClosed struct {
-	Peer string
-	Link uint64
+	Peer     string
+	Link     uint64
+	TimedOut bool
 }
 
 // Received is a message from a peer on the given link.
--- a/internal/core/router/peers.go
+++ b/internal/core/router/peers.go
@@ -30,6 +30,8 @@
 	link    uint64
 	// boot is the incarnation of the last connection, 0 before the first.
 	boot uint64
+	// silent is set if the last connection or dial ended because the sidecar sent nothing.
+	silent bool
 	// heardAt is the time of the last message, dial or new connection. A pause of this
 	// process resets it.
 	heardAt time.Duration
@@ -261,6 +263,7 @@
 		return
 	}
 	wasUp := peer.state == peerUp
+	peer.silent = closed.TimedOut
 	router.peers.Put(closed.Peer, peer.WithState(peerDown))
 	router.dialDue.Set(closed.Peer, now+router.nextRedialDelay(closed.Peer))
 	if !wasUp {
@@ -343,7 +346,7 @@
 		case peer.state == peerDown:
 		case now-peer.heardAt > router.settings.HeartbeatTimeout:
 			router.emit(event.CloseLink{Peer: name, Link: peer.link})
-			router.handleLinkClosed(now, event.LinkClosed{Peer: name, Link: peer.link})
+			router.handleLinkClosed(now, event.LinkClosed{Peer: name, Link: peer.link, TimedOut: true})
 		case peer.state == peerUp:
 			heartbeat := message.Heartbeat{Uptime: now, Echo: peer.uptime, ConfigVersion: router.config.Version(), Crashes: crashes}
 			router.send(name, heartbeat)
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -73,6 +73,22 @@
 	return row
 }
 
+// WithRetry returns the row at the start of its next attempt, after one at the failed
+// sidecar. A stream resumes after its last delivered chunk, any other response starts over.
+func (row requestRow) WithRetry(failed string) requestRow {
+	row = row.WithAttempt()
+	row.refused = []string{failed}
+	row.resumeFrom = 0
+	if row.request.Payload.Stream {
+		// Chunk 0 holds the status and header and no data.
+		row.resumeFrom = max(row.nextChunk-1, 0)
+	}
+	if row.resumeFrom == 0 {
+		row.nextChunk = 0
+	}
+	return row
+}
+
 // WithReserved returns the row with a reservation at the sidecar added.
 func (row requestRow) WithReserved(name string) requestRow {
 	row.reserved = append(row.reserved[:len(row.reserved):len(row.reserved)], name)
@@ -316,6 +332,8 @@
 			router.failQueued(now, row, message.DeadlinePassed)
 		case row.state == cancelled:
 			router.finish(row, message.Unknown, message.Cancelled)
+		case row.detached && router.awaitsSilent(now, row):
+			router.requestDue.Set(id, now+router.settings.ReattachTimeout)
 		case row.detached:
 			router.handleLost(now, row)
 		}
--- a/internal/core/router/responses.go
+++ b/internal/core/router/responses.go
@@ -115,18 +115,9 @@
 	}
 	failed := row.peer
 	router.unbind(row)
-	row = row.WithAttempt()
-	row.refused = []string{failed}
+	row = row.WithRetry(failed)
 	row.refusal = message.Refused{Reason: reason}
 	row.deadline = now + time.Duration(row.request.Class.GiveUpAfter)
-	row.resumeFrom = 0
-	if row.request.Payload.Stream {
-		// Chunk 0 holds the status and header and no data.
-		row.resumeFrom = max(row.nextChunk-1, 0)
-	}
-	if row.resumeFrom == 0 {
-		row.nextChunk = 0
-	}
 	if len(router.untried(row)) == 0 {
 		row.refused = nil
 	}
--- a/internal/core/simulation/network_test.go
+++ b/internal/core/simulation/network_test.go
@@ -43,9 +43,9 @@
 	if !entry.alive || entry.boot != boot {
 		return
 	}
-	paused := simulation.now < sidecar.pausedUntil
-	if !sidecar.alive || paused || simulation.partitioned[linkKey(entry.name, sidecar.name)] {
-		simulation.deliver(entry, event.LinkClosed{Peer: wanted.Peer, Link: wanted.Link})
+	silent := simulation.now < sidecar.pausedUntil || sidecar.machineDown || simulation.partitioned[linkKey(entry.name, sidecar.name)]
+	if !sidecar.alive || silent {
+		simulation.deliver(entry, event.LinkClosed{Peer: wanted.Peer, Link: wanted.Link, TimedOut: silent})
 		return
 	}
 	simulation.sequence++
--- a/internal/core/simulation/pauses_test.go
+++ b/internal/core/simulation/pauses_test.go
@@ -59,6 +59,22 @@
 	checkPauses(t, func(simulation *simulation) []*process { return simulation.sidecars })
 }
 
+// TestStreamsLeaveSilentSidecarForFullQueue guards against streams that leave a paused sidecar
+// for the queue of another one whose slots are all in use, and end there at their deadline.
+func TestStreamsLeaveSilentSidecarForFullQueue(t *testing.T) {
+	t.Parallel()
+	checkPauses(t, func(simulation *simulation) []*process {
+		if len(simulation.sidecars) == 1 {
+			return nil
+		}
+		busy := simulation.sidecars[1]
+		for _, id := range simulation.recorder.runsInOrder(busy) {
+			busy.runs[id].delay = 15 * time.Second
+		}
+		return simulation.sidecars[:1]
+	})
+}
+
 // TestPausedEntryCutsStreams guards against an entry that takes its own pause for the silence
 // of its sidecars.
 func TestPausedEntryCutsStreams(t *testing.T) {
--- a/internal/core/simulation/recorder_test.go
+++ b/internal/core/simulation/recorder_test.go
@@ -39,6 +39,8 @@
 	body  string
 	next  int
 	total int
+	// delay delays the next token.
+	delay time.Duration
 }
 
 // responseTokens is the number of tokens of each response. Chunk 0 has the status, and
@@ -205,7 +207,9 @@
 const partSeparator = "/"
 
 func (simulation *simulation) produce(process *process, boot uint64, run *upstreamRun) {
-	simulation.after(simulation.jitter(200), func() {
+	delay := run.delay + simulation.jitter(200)
+	run.delay = 0
+	simulation.after(delay, func() {
 		if !process.alive || process.boot != boot || process.runs[run.start.ID] != run {
 			return
 		}
--- a/internal/core/simulation/simulation_test.go
+++ b/internal/core/simulation/simulation_test.go
@@ -50,7 +50,8 @@
 
 // process is an entry or a sidecar with its upstream. A paused process collects its
 // inputs until the pause ends. An offline entry gets the list of VMs, but no class
-// document, from the configuration service. The field version is the version of the
+// document, from the configuration service. While its machine is down, dials of it time
+// out. The field version is the version of the
 // active class document, lastRunAt the time at which the upstream last got a request.
 type process struct {
 	name              string
@@ -59,6 +60,7 @@
 	boot              uint64
 	bootedAt          time.Duration
 	alive             bool
+	machineDown       bool
 	pausedUntil       time.Duration
 	inbox             []event.Input
 	wakeSet           bool
@@ -188,6 +190,7 @@
 
 func (simulation *simulation) reset(process *process) {
 	process.alive = true
+	process.machineDown = false
 	// The incarnation is never 0, which a router takes as no earlier connection.
 	process.boot = simulation.random.Uint64() | 1
 	process.bootedAt = simulation.now
@@ -273,6 +276,7 @@
 // messages without being closed.
 func (simulation *simulation) kill(process *process, blackhole bool) {
 	process.alive = false
+	process.machineDown = blackhole
 	process.runs = nil
 	for _, connection := range simulation.openConnections() {
 		if connection.entry != process && connection.sidecar != process {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -292,7 +294,7 @@
 	}
 	if err != nil {
 		entry.log("dial-failed").WithField("peer", requested.Peer).WithError(err).Warn()
-		entry.loop.Post(event.LinkClosed{Peer: requested.Peer, Link: requested.Link})
+		entry.loop.Post(event.LinkClosed{Peer: requested.Peer, Link: requested.Link, TimedOut: isTimeout(err)})
 		return
 	}
 	entry.mutex.Lock()
@@ -307,6 +309,11 @@
 	entry.log("link-closed").WithField("peer", requested.Peer).WithError(err).Info()
 }
 
+func isTimeout(err error) bool {
+	var failed net.Error
+	return errors.As(err, &failed) && failed.Timeout()
+}
+
 // newRequest returns a new request ID and the registered queue for its response. Only the
 // response to a streamed request waits for its caller to read.
 func (entry *Entry) newRequest(stream bool) (message.RequestID, *answer.Queue) {
--- a/internal/policy/retrybudget/retrybudget.go
+++ b/internal/policy/retrybudget/retrybudget.go
@@ -19,9 +19,14 @@
 	budget.tokens = min(budget.tokens+budget.share, budget.capacity)
 }
 
+// Available returns whether a retry is left.
+func (budget *Budget) Available() bool {
+	return budget.tokens >= 1
+}
+
 // Take takes one retry from the budget and returns false if none is left.
 func (budget *Budget) Take() bool {
-	if budget.tokens < 1 {
+	if !budget.Available() {
 		return false
 	}
 	budget.tokens--
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -86,6 +86,10 @@
   's/ && !controller\.awaitsTrial\(now\)//' ./internal/core/admission TestUpstreamIsSentMoreInBackoff
 mutant "leaving: silence is not noticed" internal/core/router/peers.go \
   's/now-peer\.heardAt > router\.settings\.HeartbeatTimeout/false/' $proof TestBlackholedConnectionIsReplaced
+mutant "silence: streams move into queues" internal/core/router/silence.go \
+  's/return candidate\.Outstanding\(\) < candidate\.Load\.Limit/return true/' $proof TestStreamsLeaveSilentSidecarForFullQueue
+mutant "silence: it ends streams" internal/core/router/silence.go \
+  's/return ok && peer\.silent/return ok \&\& false \&\& peer.silent/' $proof TestSilentSidecarsCutStreams
 mutant "order: a full queue refuses higher tiers" internal/policy/tiered/tiered.go \
   's/if lowest == nil \{/if true {/' ./internal/core/admission TestHigherTierIsNeverShedForLower
 mutant "dials: no growing delay" internal/core/router/peers.go \
