--- a/internal/wire/link/link_test.go
+++ b/internal/wire/link/link_test.go
@@ -139,6 +139,36 @@
 	}
 }
 
+// TestBurstClosesLink guards against a link that is closed on a burst of small messages, as
+// when a sidecar sends the rest of many responses to an entry that was paused.
+func TestBurstClosesLink(t *testing.T) {
+	const messages, maxWait = 50_000, 30 * time.Second
+	address, received, _ := serve(t)
+	dialled, err := link.Dial(address, secret, link.Identity{Name: "entry", Boot: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialled.Close()
+	done := make(chan error, 1)
+	go func() { done <- dialled.Run(func(message.Message) {}) }()
+	for i := range messages {
+		dialled.Send(message.Chunk{Index: i, Data: make([]byte, 100)})
+	}
+	timeout := time.After(maxWait)
+	for i := range messages {
+		select {
+		case body := <-received:
+			if chunk, ok := body.(message.Chunk); !ok || chunk.Index != i {
+				t.Fatalf("got %+v, want chunk %d", body, i)
+			}
+		case err := <-done:
+			t.Fatalf("the link was closed after %d of %d messages: %v", i, messages, err)
+		case <-timeout:
+			t.Fatalf("got %d messages in %v, want %d", i, maxWait, messages)
+		}
+	}
+}
+
 // TestDialBoundsHandshake guards against reading a response to the handshake that never
 // ends, from another service that has the peer's address by now.
 func TestDialBoundsHandshake(t *testing.T) {
