Bound a link's queue by bytes and not by messages

Callers saw their streams end with an error event after a pause of an entry, or of a sidecar, that had many streams. Cause: the sidecar sends what the entry missed of all responses at once, and a link counted as one whose peer does not read from 4096 messages on, however small; it was closed, reopened and closed again, each time at the cost of a retry, until none was left. Change: the queue holds 64 MiB; a peer that reads nothing is still cut off by the write timeout or that bound.

--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -37,7 +37,9 @@
 }
 
 const (
-	outboxMessages = 4096
+	// outboxBytes bounds the messages for a peer that does not read. One that reads nothing
+	// for writeTimeout is closed before.
+	outboxBytes = 64 << 20
 	// maxFrameBytes leaves a margin above the largest body of a caller, which one
 	// frame carries.
 	maxFrameBytes = 16 << 20
@@ -159,7 +161,7 @@
 	conn.SetReadLimit(maxFrameBytes)
 	return &Link{
 		conn: conn, peer: peer,
-		outbox: newOutbox(outboxMessages),
+		outbox: newOutbox(outboxBytes),
 		closed: make(chan struct{}),
 	}
 }
@@ -219,7 +221,7 @@
 		if err := link.writeOne(body); err != nil {
 			return err
 		}
-		link.outbox.written()
+		link.outbox.written(body)
 	}
 	return nil
 }
