--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -136,6 +136,39 @@
 	}
 }
 
+// TestSilenceEndsRun guards against a run that ends because its upstream is silent, without
+// a limit: before the head of the response, before the first event, or between two events.
+func TestSilenceEndsRun(t *testing.T) {
+	const silence, maxWait = 300 * time.Millisecond, 10 * time.Second
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		time.Sleep(silence)
+		writer.Header().Set("Content-Type", "text/event-stream")
+		for _, text := range []string{"", "data: a\n\n", "data: [DONE]\n\n"} {
+			_, _ = io.WriteString(writer, text)
+			_ = http.NewResponseController(writer).Flush()
+			time.Sleep(silence)
+		}
+	}))
+	defer server.Close()
+	inputs := make(chan event.Input, 16)
+	upstream.New(upstream.Settings{
+		Address: server.Listener.Addr().String(), Uptime: func() time.Duration { return 0 }, Tracer: noop.NewTracerProvider().Tracer(""),
+	}, func(input event.Input) { inputs <- input }).Start(request())
+	for timeout := time.After(maxWait); ; {
+		select {
+		case input := <-inputs:
+			if ended, ok := input.(event.RunEnded); ok {
+				if ended.Outcome != message.Complete {
+					t.Errorf("got %+v, want a complete run", ended)
+				}
+				return
+			}
+		case <-timeout:
+			t.Fatal("the run has not ended, want it to end with its stream")
+		}
+	}
+}
+
 // TestEndlessHeader guards against reading a header that never ends.
 func TestEndlessHeader(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
