Wait for a silent upstream as long as its caller does

Callers of an entry with sidecars saw their streams end with an error event when the upstream sent nothing for 20 s, once the entry had no retry or no other upstream left. Cause: the sidecar took silence for a failure and cancelled the run, whether or not the stream could go on elsewhere. A run ends when the upstream closes or resets its connection, its keep-alive fails, or the caller leaves. Given up with it: a stream of an upstream that hangs for good is no longer moved after 20 s.

--- a/internal/command/verbs/sidecar.go
+++ b/internal/command/verbs/sidecar.go
@@ -14,13 +14,11 @@
 )
 
 const (
-	defaultInitialLimit     = 8
-	defaultMaxLimit         = 256
-	defaultMaxKeys          = 50_000
-	defaultClockSkew        = 5 * time.Second
-	defaultFirstByteTimeout = 2 * time.Minute
-	defaultStallTimeout     = 20 * time.Second
-	limitWindow             = 500 * time.Millisecond
+	defaultInitialLimit = 8
+	defaultMaxLimit     = 256
+	defaultMaxKeys      = 50_000
+	defaultClockSkew    = 5 * time.Second
+	limitWindow         = 500 * time.Millisecond
 )
 
 func sidecarCommand() *cli.Command {
@@ -30,8 +28,8 @@
 		numberFlag("fixed-limit", "fixed limit of concurrent requests; 0 adapts the limit to the latency", 0),
 		numberFlag("key-bound", "maximum number of idempotency keys to store", defaultMaxKeys),
 		durationFlag("clock-skew", "maximum clock error of callers that create version 7 UUIDs", defaultClockSkew),
-		durationFlag("first-byte", "maximum wait for the first byte of the upstream's response", defaultFirstByteTimeout),
-		durationFlag("stall", "maximum wait for further bytes of the upstream's response", defaultStallTimeout),
+		durationFlag("first-byte", "time without a first byte after which a response is cut off, 0 for never", 0),
+		durationFlag("stall", "time without a further byte after which a response is cut off, 0 for never", 0),
 	)
 	return &cli.Command{Flags: append(flags, orderFlags()...), Action: runSidecar}
 }
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -40,7 +40,8 @@
 // Settings of an Upstream. Address is host:port. Uptime is the clock for
 // StartRun.NotAfter. A run is cancelled if the first data of the response body takes
 // longer than FirstByteTimeout, and after StallTimeout without further data, or without a
-// further event in a stream of events.
+// further event in a stream of events. A timeout of 0 is no limit: an upstream that is
+// silent may still answer, and one that is gone closes its connection.
 type Settings struct {
 	Address          string
 	Uptime           func() time.Duration
@@ -157,8 +158,8 @@
 func (upstream *Upstream) send(ctx context.Context, start event.StartRun) event.RunEnded {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(upstream.settings.FirstByteTimeout, func() { cancel(errStalled) })
-	defer watchdog.Stop()
+	watchdog := newWatchdog(upstream.settings.FirstByteTimeout, func() { cancel(errStalled) })
+	defer watchdog.reset(0)
 	request, err := upstream.request(ctx, start)
 	if err != nil || upstream.settings.Uptime() > start.NotAfter {
 		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.LeaseExpired}
@@ -235,7 +236,7 @@
 	return ended
 }
 
-func (upstream *Upstream) relay(start event.StartRun, response *http.Response, watchdog *time.Timer) error {
+func (upstream *Upstream) relay(start event.StartRun, response *http.Response, watchdog *watchdog) error {
 	if isEventStream(response) {
 		return upstream.relayEvents(start, response.Body, watchdog)
 	}
@@ -246,12 +247,12 @@
 	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 }
 
-func (upstream *Upstream) relayBytes(id message.RequestID, body io.Reader, watchdog *time.Timer) error {
+func (upstream *Upstream) relayBytes(id message.RequestID, body io.Reader, watchdog *watchdog) error {
 	for {
 		buffer := make([]byte, readBytes)
 		count, err := body.Read(buffer)
 		if count > 0 {
-			watchdog.Reset(upstream.settings.StallTimeout)
+			watchdog.reset(upstream.settings.StallTimeout)
 			upstream.post(event.ResponseChunk{ID: id, Data: buffer[:count]})
 		}
 		if errors.Is(err, io.EOF) {
@@ -266,7 +267,7 @@
 // relayEvents posts each server-sent event as one chunk, together with the comments before
 // it: a resumed stream skips as many events as there were chunks. A stream is complete only
 // with the [DONE] event.
-func (upstream *Upstream) relayEvents(start event.StartRun, body io.Reader, watchdog *time.Timer) error {
+func (upstream *Upstream) relayEvents(start event.StartRun, body io.Reader, watchdog *watchdog) error {
 	reader := eventstream.New(body)
 	done := false
 	var comments []byte
@@ -277,7 +278,7 @@
 			comments = append(comments, data...)
 			continue
 		}
-		watchdog.Reset(upstream.settings.StallTimeout)
+		watchdog.reset(upstream.settings.StallTimeout)
 		if bytes.HasPrefix(data, []byte(doneEvent)) {
 			done = true
 			comments = nil
