Let a link's queue hold what it held before the bound in bytes

4096 chunks of 32 KB, the largest that a sidecar sends, are 128 MiB; the bound of 64 MiB closed the link of an entry with several large answers at once sooner than before. The tests of internal/wire pass with the race detector.

--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -39,7 +39,7 @@
 const (
 	// outboxBytes bounds the messages for a peer that does not read. One that reads nothing
 	// for writeTimeout is closed before.
-	outboxBytes = 64 << 20
+	outboxBytes = 128 << 20
 	// maxFrameBytes leaves a margin above the largest body of a caller, which one
 	// frame carries.
 	maxFrameBytes = 16 << 20
