--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -314,20 +314,25 @@
 	return errors.As(err, &failed) && failed.Timeout()
 }
 
-// newRequest returns a new request ID and the registered queue for its response. Only the
-// response to a streamed request waits for its caller to read.
+// newRequest returns a new request ID and the registered queue for its response.
 func (entry *Entry) newRequest(stream bool) (message.RequestID, *answer.Queue) {
 	id := message.NewRequestID(entry.settings.Boot, entry.sequence.Add(1))
-	queue := answer.New(caller.MaxAnswerBytes)
-	if stream {
-		queue = answer.New(maxUnreadBytes)
-	}
+	queue := newQueue(stream)
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
 	entry.responses[id] = queue
 	return id, queue
 }
 
+// newQueue returns the queue for a response. One that is not streamed is buffered until it is
+// complete, so the speed of its caller does not bound it.
+func newQueue(stream bool) *answer.Queue {
+	if stream {
+		return answer.New(maxUnreadBytes)
+	}
+	return answer.New(caller.MaxAnswerBytes)
+}
+
 func (entry *Entry) serverFailed(err error) {
 	entry.log("server-failed").WithError(err).Error()
 }
--- a/internal/node/entry/stop_test.go
+++ b/internal/node/entry/stop_test.go
@@ -198,8 +198,11 @@
 		return 0, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("status %d: %s", response.StatusCode, response.Header.Get("Endivepost-Reason"))
+	}
 	for {
-		count, err := io.CopyN(io.Discard, response.Body, int64(bytesPerSecond/readsPerSecond))
+		count, err := io.CopyN(io.Discard, response.Body, int64(bytesPerSecond)/readsPerSecond)
 		length += count
 		if errors.Is(err, io.EOF) {
 			return length, nil
