--- a/internal/node/entry/large_answer_test.go
+++ b/internal/node/entry/large_answer_test.go
@@ -7,6 +7,22 @@
 	"testing"
 )
 
+// TestWriteTimeoutCutsAnswerOfSlowReader guards against a write timeout that counts for a whole
+// answer: a caller that reads all the time, but slowly, gets only a part of it.
+func TestWriteTimeoutCutsAnswerOfSlowReader(t *testing.T) {
+	t.Parallel()
+	const size, rate = 40 << 20, 2 << 20
+	running := newFleet(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write(bytes.Repeat([]byte("x"), size))
+	}))
+	conn := running.dial(t, 1<<16)
+	running.writeHead(t, conn, 0, "")
+	length, err := readSlowly(conn, rate)
+	if err != nil || length != size {
+		t.Errorf("got %d bytes of the answer and error %v, want %d bytes", length, err, size)
+	}
+}
+
 // checkFastAnswers checks that callers who read as fast as they can get whole answers.
 func checkFastAnswers(t *testing.T, size, callers int) {
 	t.Helper()
