Count the write timeout for each part of an answer

Callers that read slowly, but all the time, lost the rest of an answer that took more than 10 s to write. Cause: one write, with one deadline, for all that was buffered. Change: parts of 64 KiB, each with its own.

--- a/internal/node/caller/reply.go
+++ b/internal/node/caller/reply.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -58,8 +59,10 @@
 	// MaxAnswerBytes is the largest response that is buffered until it is complete.
 	MaxAnswerBytes = 64 << 20
 
-	// writeTimeout bounds each write of chunks to the caller.
-	writeTimeout = 10 * time.Second
+	// maxWriteBytes is the most that is written to the caller at once, and writeTimeout how
+	// long that may take: a caller that goes on reading is not cut off, however slow it is.
+	maxWriteBytes = 64 << 10
+	writeTimeout  = 10 * time.Second
 	// errorType is the error type of errors that the caller did not cause.
 	errorType = "endivepost"
 )
@@ -133,13 +136,23 @@
 		return nil
 	}
 	reply.start("")
-	controller := http.NewResponseController(reply.writer)
-	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := reply.writer.Write(reply.body); err != nil {
+	if err := reply.write(reply.body); err != nil {
 		return err
 	}
 	reply.body = reply.body[:0]
-	return controller.Flush()
+	return http.NewResponseController(reply.writer).Flush()
+}
+
+// write writes the data in parts of at most maxWriteBytes, each with its own deadline.
+func (reply *Reply) write(data []byte) error {
+	controller := http.NewResponseController(reply.writer)
+	for part := range slices.Chunk(data, maxWriteBytes) {
+		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := reply.writer.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // start writes the status and header once. The outcome is empty for a stream, because it
@@ -174,8 +187,7 @@
 	case complete:
 		reply.setReportedTokens()
 		reply.start(finish.Outcome.String())
-		_, err := reply.writer.Write(reply.body)
-		return err
+		return reply.write(reply.body)
 	case reply.started:
 		return reply.closeTruncated(finish)
 	}
