Show that a stopping entry closes kept connections in use

TestStopCutsKeptConnections: 40 callers send one request after the other on their connections, and the entry stops.

--- a/internal/node/entry/stop_test.go
+++ b/internal/node/entry/stop_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -158,7 +159,7 @@
 	_, err := fmt.Fprintf(conn, "POST /services/files/report HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n%s\r\n",
 		fleet.address, key, length, header)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
 	}
 }
 
@@ -233,3 +234,37 @@
 		t.Errorf("got %d bytes of the answer and error %v, want %d bytes", length, err, size)
 	}
 }
+
+// TestStopCutsKeptConnections guards against a stopping entry that closes a kept connection in
+// use without telling its caller first: a request that is on its way then gets no answer.
+func TestStopCutsKeptConnections(t *testing.T) {
+	t.Parallel()
+	const callers = 40
+	running := newFleet(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) }))
+	var ended sync.WaitGroup
+	for range callers {
+		conn := running.dial(t, 1<<16)
+		ended.Go(func() { running.callUntilClosed(t, conn) })
+	}
+	time.Sleep(time.Second)
+	running.stop()
+	ended.Wait()
+}
+
+// callUntilClosed sends requests on a connection until an answer says that it is closed.
+func (fleet *fleet) callUntilClosed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	for reader := bufio.NewReader(conn); ; {
+		fleet.writeHead(t, conn, 0, "")
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Errorf("no answer to a request on a kept connection: %v", err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.Close {
+			return
+		}
+	}
+}
