--- a/internal/soak/processes/checker_test.go
+++ b/internal/soak/processes/checker_test.go
@@ -210,31 +210,34 @@
 	return false
 }
 
-// excuse returns why the answer of a lost request may be missing.
+// excuse returns why the answer of a lost request may be missing. A disruption of the entry
+// comes last, so that it names only what has no other reason.
 func (call *call) excuse(runs []*run) excuse {
 	deadline := call.began.Add(min(call.plan.deadline, routeTimeout))
 	if !call.ended.Before(deadline.Add(-deadlineSlack)) {
 		return deadlineCame
 	}
-	if why := call.process.disruption(call.began, call.ended); why != "" {
-		return why
-	}
-	if len(runs) == 0 {
-		return ""
-	}
-	latest := runs[len(runs)-1]
-	if latest.outcome == brokenOff || latest.outcome == overdue {
-		return upstreamEnded
+	if len(runs) > 0 {
+		latest := runs[len(runs)-1]
+		if latest.outcome == brokenOff || latest.outcome == overdue {
+			return upstreamEnded
+		}
+		if call.outlived(latest) {
+			return graceEnded
+		}
 	}
+	return call.process.disruption(call.began, call.ended)
+}
+
+// outlived reports whether the upstream was still at work in the last sixth of the grace
+// period on a request that was sent early in it.
+func (call *call) outlived(latest *run) bool {
 	terminated := call.process.terminated
 	if terminated.IsZero() || call.began.After(terminated.Add(lateSend)) {
-		return ""
+		return false
 	}
 	sixth := terminated.Add(grace - grace/6)
-	if call.ended.After(sixth) && (latest.ended.IsZero() || latest.ended.After(sixth)) {
-		return graceEnded
-	}
-	return ""
+	return call.ended.After(sixth) && (latest.ended.IsZero() || latest.ended.After(sixth))
 }
 
 // disruption returns whether the process was frozen or killed around the time.
--- a/internal/soak/processes/faults_test.go
+++ b/internal/soak/processes/faults_test.go
@@ -38,8 +38,8 @@
 
 const (
 	warmUp = 2 * time.Second
-	// stopEvery is the mean time between the stops of two entries.
-	stopEvery = 2500 * time.Millisecond
+	// stopRound is the mean time in which all entries are stopped once.
+	stopRound = 10 * time.Second
 )
 
 // newFaults draws the faults of a run of the length in the order of their times.
@@ -76,6 +76,7 @@
 func stops(random *rand.Rand, length time.Duration, entries int) []fault {
 	var faults []fault
 	order := random.Perm(entries)
+	stopEvery := stopRound / time.Duration(entries)
 	at := warmUp + between(random, 0, stopEvery)
 	for turn := 0; at < length; turn++ {
 		index := order[turn%entries]
--- a/internal/soak/processes/fleet_test.go
+++ b/internal/soak/processes/fleet_test.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	entryCount   = 4
 	engineCount  = 4
 	bookingCount = 2
 	// grace is the time from SIGTERM until SIGKILL.
@@ -79,7 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for index := range entryCount {
+	for index := range *entryCount {
 		fleet.entries = append(fleet.entries, &entry{
 			name: fmt.Sprintf("entry-%d", index+1), callers: freeAddress(t), ready: freeAddress(t), peer: freeAddress(t),
 			folder: folder, program: program, journal: fleet.journal,
--- a/internal/soak/processes/soak_test.go
+++ b/internal/soak/processes/soak_test.go
@@ -24,6 +24,7 @@
 	firstSeed   = flag.Uint64("soak.seed", 1, "first seed of the soak")
 	seedCount   = flag.Uint64("soak.seeds", 1, "number of seeds")
 	length      = flag.Duration("soak.for", 14*time.Second, "time for which faults are injected, for each seed")
+	entryCount  = flag.Int("soak.entries", 4, "number of entries; callers and stops grow with it")
 	showAllowed = flag.Bool("soak.allowed", false, "also print the failures and lost answers that no rule forbids")
 	logFolder   = flag.String("soak.logs", "", "folder in which the logs of the entries are kept")
 )
@@ -42,12 +43,14 @@
 	}
 }
 
-// crowd is the number of callers of each kind.
+// crowd is the number of callers of each kind for crowdEntries entries.
 var crowd = []struct {
 	kind  callerKind
 	count int
 }{{keeper, 24}, {newcomer, 12}, {latecomer, 10}, {slowSender, 8}, {slowReader, 6}, {idler, 6}}
 
+const crowdEntries = 4
+
 func TestSoak(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed) })
@@ -68,7 +71,7 @@
 	calling, hangUp := context.WithCancel(ctx)
 	defer hangUp()
 	callers := fleet.startCallers(calling, seed)
-	fleet.inject(newFaults(rand.New(rand.NewPCG(seed, 3)), of, *length, entryCount))
+	fleet.inject(newFaults(rand.New(rand.NewPCG(seed, 3)), of, *length, *entryCount))
 	time.Sleep(time.Until(fleet.journal.start.Add(*length)))
 	hangUp()
 	if !finishes(callers, settleTime) || !finishes(&fleet.work, settleTime) {
@@ -86,7 +89,7 @@
 	group := &sync.WaitGroup{}
 	number := uint64(0)
 	for _, row := range crowd {
-		for range row.count {
+		for range row.count * *entryCount / crowdEntries {
 			number++
 			caller := &caller{
 				name: fmt.Sprintf("%s-%d", row.kind, number), kind: row.kind, random: rand.New(rand.NewPCG(seed, 100+number)),
