--- a/internal/soak/processes/checker_test.go
+++ b/internal/soak/processes/checker_test.go
@@ -217,9 +217,8 @@
 	if !call.ended.Before(deadline.Add(-deadlineSlack)) {
 		return deadlineCame
 	}
-	if len(runs) > 0 {
-		latest := runs[len(runs)-1]
-		if latest.outcome == brokenOff || latest.outcome == overdue {
+	if latest := call.latestRun(runs); latest != nil {
+		if (latest.outcome == brokenOff || latest.outcome == overdue) && latest.ended.Before(call.ended.Add(readSlack)) {
 			return upstreamEnded
 		}
 		if call.outlived(latest) {
@@ -229,6 +228,18 @@
 	return call.process.disruption(call.began, call.ended)
 }
 
+// latestRun returns the last run that began before the call ended: an upstream that was
+// paused may begin with a request long after its entry has left it.
+func (call *call) latestRun(runs []*run) *run {
+	var latest *run
+	for _, run := range runs {
+		if run.began.Before(call.ended) {
+			latest = run
+		}
+	}
+	return latest
+}
+
 // outlived reports whether the upstream was still at work in the last sixth of the grace
 // period on a request that was sent early in it.
 func (call *call) outlived(latest *run) bool {
