--- a/internal/soak/processes/journal_test.go
+++ b/internal/soak/processes/journal_test.go
@@ -77,6 +77,8 @@
 
 // journal records what callers and upstreams saw, and what the test did.
 type journal struct {
+	// grace is the time from SIGTERM until SIGKILL.
+	grace     time.Duration
 	mutex     sync.Mutex
 	start     time.Time
 	calls     []*call
