--- a/internal/soak/processes/upstream_test.go
+++ b/internal/soak/processes/upstream_test.go
@@ -78,6 +78,12 @@
 	}
 }
 
+func (upstream *upstream) hasEnded() bool {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return upstream.ended
+}
+
 func (upstream *upstream) paused() time.Duration {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
@@ -98,7 +104,7 @@
 	ctx := request.Context()
 	body, err := io.ReadAll(request.Body)
 	upstream.work(context.Background(), 0)
-	if err != nil {
+	if err != nil || upstream.hasEnded() {
 		panic(http.ErrAbortHandler)
 	}
 	id := request.Header.Get("X-Attempt-Id")
@@ -141,11 +147,8 @@
 
 // stop ends a run whose connection does not work any more.
 func (upstream *upstream) stop(of *run) {
-	upstream.mutex.Lock()
-	ended := upstream.ended
-	upstream.mutex.Unlock()
 	how := cut
-	if ended {
+	if upstream.hasEnded() {
 		how = brokenOff
 	}
 	upstream.journal.end(of, how)
