Disable the new way of not reusing connections in the mutant about sending twice

The mutant replaced a line that is gone. It now lets the sidecar's client keep connections. Result: TestNothingIsSentTwice fails with it (3 requests received, want 2).

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -44,7 +44,7 @@
 mutant "at most once: no key table" internal/core/admission/reservations.go \
   's/if reserve\.Key != \(message\.Digest\{\}\) && !controller\.admitKey/if false \&\& !controller.admitKey/' $proof TestInvariantsUnderFaults
 mutant "at most once: the transport may send again" internal/node/upstream/upstream.go \
-  's/client = upstream\.single/client = upstream.shared/' ./internal/node/upstream TestNothingIsSentTwice
+  's/DisableKeepAlives: true/DisableKeepAlives: false/' ./internal/node/upstream TestNothingIsSentTwice
 mutant "true not-run: unknown requests are said not-run" internal/core/admission/reservations.go \
   's/controller\.send\(peer, message\.End\{ID: id, Outcome: message\.Unknown, Reason: message\.Lost\}\)/controller.replyRefused(now, peer, id, message.Lost)/' \
   ./internal/core/admission TestAttachAfterLoss
