--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -116,11 +116,11 @@
   's/stats\.sensitive = stats\.misses\(gap\).*/stats.sensitive = false/' $replay TestLongResponsesInBursts
 mutant "drain: queued requests keep their deadline" internal/core/dispatch/queue.go \
   's/if dispatcher\.exitAt > 0 \{/if false {/' $dispatch TestDrainRefusesWhatItCannotFinish
-mutant "silence: attempts are stopped without a place elsewhere" internal/core/dispatch/unresponsive.go \
+mutant "silence: attempts are stopped without a place elsewhere" internal/core/dispatch/silence.go \
   's/if !found \|\| !dispatcher\.takeRetry\(now, &row\) \{/if !found \&\& place.upstream.Name == row.upstream {/' $dispatch TestCutStreamHasNowhereToGo
 mutant "silence: an own pause counts" internal/core/dispatch/dispatch.go \
   's/watched -= late/watched -= 0/' $dispatch TestOwnPauseIsTakenForSilence
-mutant "silence: streams that have begun stay at an upstream that is gone" internal/core/dispatch/unresponsive.go \
+mutant "silence: streams that have begun stay at an upstream that is gone" internal/core/dispatch/silence.go \
   's/return upstream\.unreachable \|\| stalls/return stalls/' $dispatch TestDarkUpstreamIsLeft
 mutant "stop: late requests are accepted" internal/core/dispatch/drain.go \
   's/return row\.arrived >= dispatcher\.releasedAt \|\| /return /' ./platform TestAnswerIsCutByExit
