--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -123,21 +123,9 @@
 	// floorEvery.
 	floorWait  = time.Second
 	floorEvery = 6
-	// balancerDrainDelay is how long the load balancer may still open connections
-	// after this process reports not ready: it stops after two failed probes, which
-	// are one second apart.
-	balancerDrainDelay = 2800 * time.Millisecond
-	// earlierPoll is the time between two checks whether earlier requests are in flight, and
-	// closeMargin the time for the last responses before the drain ends.
-	earlierPoll = 20 * time.Millisecond
-	closeMargin = 300 * time.Millisecond
 	// maxLinesPerSecond bounds the log lines on requests that completed at the first
 	// attempt.
 	maxLinesPerSecond = 200
-	// exitMargin is the time between the end of the drain and the kill at the end of
-	// the grace period; flushTimeout bounds the flush of each link to another entry.
-	exitMargin   = 500 * time.Millisecond
-	flushTimeout = 100 * time.Millisecond
 )
 
 // New returns an entry that is not running yet.
@@ -240,45 +228,6 @@
 	entry.log(logevent.ServerFailed).WithError(err).Error()
 }
 
-// drain serves new requests until the load balancer has stopped sending them, and then, as
-// long as earlier ones are in flight, those that certainly end before the exit: while other
-// entries stop too, there may be none to take them. Then it closes the callers' listener
-// and idle connections.
-func (entry *Entry) drain(callers *httpserver.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), entry.settings.Grace-exitMargin)
-	defer cancel()
-	entry.log(logevent.Draining).WithField("in-progress", entry.inProgress()).Info()
-	entry.draining.Store(true)
-	exitIn := entry.settings.Grace - exitMargin
-	releasedIn := min(balancerDrainDelay, exitIn)
-	entry.loop.Post(event.DrainStarted{ExitIn: exitIn, ReleasedIn: releasedIn})
-	time.Sleep(releasedIn)
-	entry.released.Store(true)
-	entry.awaitEarlier(exitIn - releasedIn - closeMargin)
-	if err := callers.Shutdown(ctx); err != nil {
-		connections := callers.Connections()
-		entry.log(logevent.ShutdownCutOff).WithError(err).WithFields(logrus.Fields{
-			"in-progress": entry.inProgress(), "reading": entry.reading.Load(), "connections-new": connections.New, "connections-active": connections.Active,
-		}).Warn()
-	}
-	entry.closeLinks()
-	entry.log(logevent.Stopped).Info()
-}
-
-// awaitEarlier waits for the requests that arrived before the load balancer sent them
-// elsewhere, at most for the given time.
-func (entry *Entry) awaitEarlier(limit time.Duration) {
-	for waited := time.Duration(0); waited < limit && entry.earlier.Load() > 0; waited += earlierPoll {
-		time.Sleep(earlierPoll)
-	}
-}
-
-func (entry *Entry) inProgress() int {
-	entry.mutex.Lock()
-	defer entry.mutex.Unlock()
-	return len(entry.active)
-}
-
 // prune closes idle connections to upstreams that are too old to be reused.
 func (entry *Entry) prune(ctx context.Context) {
 	ticker := time.NewTicker(pruneInterval)
@@ -385,23 +334,6 @@
 	}
 }
 
-// probe opens a connection to a silent upstream: whether it succeeds tells an upstream that
-// is gone from one that is paused. A failure that took much longer than it may is repeated,
-// since this process was paused meanwhile.
-func (entry *Entry) probe(silent event.UpstreamSilent) {
-	started := time.Now()
-	err := entry.exchange.Probe(context.Background(), silent.Address)
-	for err != nil && time.Since(started) > 2*dialTimeout {
-		started = time.Now()
-		err = entry.exchange.Probe(context.Background(), silent.Address)
-	}
-	if err != nil {
-		entry.countBelief(logevent.UpstreamUnreachable)
-		entry.log(logevent.UpstreamUnreachable).WithField("name", silent.Name).WithError(err).Info()
-	}
-	entry.loop.Post(event.UpstreamProbed{Name: silent.Name, Reachable: err == nil})
-}
-
 // sendCommand passes an output to the goroutine of its request, if that still runs.
 func (entry *Entry) sendCommand(id message.RequestID, output event.Output) {
 	if found, ok := entry.findCommands(id); ok {
