--- a/internal/soak/processes/checker_cases_test.go
+++ b/internal/soak/processes/checker_cases_test.go
@@ -53,6 +53,21 @@
 			call.ending, call.status, call.body = closed, 0, ""
 			return nil
 		}},
+		{"abandoned", hung, func(call *call, runs []*run) []*run {
+			call.ending, call.status, call.body = abandoned, 0, ""
+			return runs
+		}},
+		{"abandoned without a deadline while the upstream is at work", "", func(call *call, runs []*run) []*run {
+			call.plan.dialect = chatDialect{}
+			call.ending, call.status, call.body = abandoned, 0, ""
+			return runs
+		}},
+		{"abandoned without a deadline after the upstream's end", hung, func(call *call, runs []*run) []*run {
+			call.plan.dialect = chatDialect{}
+			call.ending, call.status, call.body = abandoned, 0, ""
+			call.ended = runs[0].ended.Add(2 * callerPatience)
+			return runs
+		}},
 		{"event missing", order, func(call *call, runs []*run) []*run {
 			call.body = call.plan.eventText(1) + call.plan.eventText(3)
 			return runs
--- a/internal/soak/processes/dialect_test.go
+++ b/internal/soak/processes/dialect_test.go
@@ -29,6 +29,8 @@
 	// cutMark returns the text with which an entry ends a stream that is not complete, "" if
 	// it closes the connection.
 	cutMark() string
+	// tellsDeadline reports whether the entry knows how long the caller waits.
+	tellsDeadline() bool
 }
 
 const (
@@ -92,6 +94,8 @@
 
 func (platformDialect) cutMark() string { return "" }
 
+func (platformDialect) tellsDeadline() bool { return true }
+
 // chatDialect is that of entries with sidecars.
 type chatDialect struct{}
 
@@ -147,3 +151,5 @@
 }
 
 func (chatDialect) cutMark() string { return "event: error\n" }
+
+func (chatDialect) tellsDeadline() bool { return false }
