--- a/internal/node/direct/drain.go
+++ b/internal/node/direct/drain.go
@@ -21,7 +21,7 @@
 	earlierPoll = 20 * time.Millisecond
 	closeMargin = 300 * time.Millisecond
 	// exitMargin is the time between the end of the drain and the kill at the end of
-	// the grace period; flushTimeout bounds the flush of each link to another entry.
+	// the grace period; flushTimeout bounds the flush of the links to other entries.
 	exitMargin   = 500 * time.Millisecond
 	flushTimeout = 100 * time.Millisecond
 )
@@ -54,7 +54,8 @@
 // awaitEarlier waits for the requests that arrived before the load balancer sent them
 // elsewhere, at most for the given time.
 func (entry *Entry) awaitEarlier(limit time.Duration) {
-	for waited := time.Duration(0); waited < limit && entry.earlier.Load() > 0; waited += earlierPoll {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) && entry.earlier.Load() > 0 {
 		time.Sleep(earlierPoll)
 	}
 }
--- a/internal/node/direct/links.go
+++ b/internal/node/direct/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -78,8 +79,9 @@
 func (entry *Entry) closeLinks() {
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
+	deadline := time.Now().Add(flushTimeout)
 	for _, registered := range entry.links {
-		registered.link.Flush(flushTimeout)
+		registered.link.Flush(time.Until(deadline))
 		registered.link.Close()
 	}
 }
