Answer requests without a response before the process exits

Cause: the exit cuts what is in progress. Change: 0.4 s before the exit attempts of which the caller has nothing yet are stopped, and the caller gets 502 with the outcome unknown, or a true refusal if nothing was sent.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -149,6 +149,10 @@
 // not passed, the fleet-wide retry budget has a retry left and an upstream is
 // available; otherwise it aborts the request with the reason.
 func (dispatcher *Dispatcher) retry(now time.Duration, row requestRow, allowed bool, reason message.Reason) {
+	if dispatcher.exiting(now) {
+		dispatcher.abort(now, row, message.Draining)
+		return
+	}
 	_, found := dispatcher.choose(now, row)
 	if !allowed || !found || now >= row.deadline || !dispatcher.takeRetry(now, &row) {
 		dispatcher.abort(now, row, reason)
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -86,6 +86,8 @@
 	// the load balancer sends requests elsewhere.
 	exitAt     time.Duration
 	releasedAt time.Duration
+	// answered is true once the requests without a response were answered before the exit.
+	answered bool
 	// upstreamsChanged and capacityFreed record that, since waiting requests were
 	// last examined, upstreams changed or one may have capacity again.
 	upstreamsChanged bool
@@ -214,6 +216,7 @@
 	dispatcher.checkLimits(now)
 	dispatcher.admit(now)
 	dispatcher.checkSilence(now)
+	dispatcher.answerBeforeExit(now)
 	dispatcher.emit(dispatcher.mesh.Dial(now)...)
 	dispatcher.pullPlacements(now)
 	dispatcher.queryCaches(now)
@@ -244,6 +247,9 @@
 	if dispatcher.backoffDue > 0 {
 		next = min(next, dispatcher.backoffDue)
 	}
+	if dispatcher.exitAt > 0 && !dispatcher.answered {
+		next = min(next, dispatcher.exitAt-lastAnswers)
+	}
 	if dispatcher.originsDue > 0 {
 		next = min(next, dispatcher.originsDue)
 	}
--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivepost/internal/core/event"
+	"endivepost/internal/wire/message"
 )
 
 // startDrain shortens the wait of the queued requests: what cannot be answered before the
@@ -36,6 +37,34 @@
 	return row.arrived >= dispatcher.releasedAt || now >= dispatcher.latestStart(row)
 }
 
+// lastAnswers is how long before the exit requests without any response are answered.
+const lastAnswers = 400 * time.Millisecond
+
+// exiting returns whether the process is about to exit.
+func (dispatcher *Dispatcher) exiting(now time.Duration) bool {
+	return dispatcher.exitAt > 0 && now >= dispatcher.exitAt-lastAnswers
+}
+
+// answerBeforeExit stops the attempts of which the caller has nothing yet right before the
+// exit: an error tells the caller more than a closed connection.
+func (dispatcher *Dispatcher) answerBeforeExit(now time.Duration) {
+	if dispatcher.answered || !dispatcher.exiting(now) {
+		return
+	}
+	dispatcher.answered = true
+	for _, id := range dispatcher.requests.Keys() {
+		row, _ := dispatcher.requests.Get(id)
+		switch {
+		case row.state == waiting:
+			dispatcher.abort(now, row, message.Draining)
+		case row.state == running && !row.firstByteReceived && !row.delivered:
+			row.state = stopping
+			dispatcher.requests.Put(id, row)
+			dispatcher.emit(event.StopRun{ID: id, Number: row.attemptNumber})
+		}
+	}
+}
+
 // reportDrained emits Drained once the draining entry has no request left.
 func (dispatcher *Dispatcher) reportDrained() {
 	if !dispatcher.draining || dispatcher.drained || dispatcher.requests.Len() > 0 {
