Review: streams of a frozen machine cannot be taken up elsewhere

Cause: an entry that does not know a stream waits for an answer of each connected entry, also of a frozen one, whose link stays open for longer than the request may wait.

--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -34,7 +34,14 @@
 
 // send sends a request on a new connection and reads the whole answer. It calls each, if it is
 // not nil, for each event of a stream.
-func send(address, method, path, id, extra, body string, limit time.Duration, each func(event string)) (answer Answer) {
+func send(address, method, path, id, extra, body string, limit time.Duration, each func(event string)) Answer {
+	return sendUntil(nil, address, method, path, id, extra, body, limit, each)
+}
+
+// sendUntil does the same, and closes the connection once the client has abandoned the request.
+func sendUntil(
+	abandoned <-chan struct{}, address, method, path, id, extra, body string, limit time.Duration, each func(event string),
+) (answer Answer) {
 	started := time.Now()
 	answer.ID = id
 	defer func() { answer.Took = time.Since(started) }()
@@ -44,6 +51,15 @@
 		return answer
 	}
 	defer conn.Close()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-abandoned:
+			_ = conn.Close()
+		case <-ended:
+		}
+	}()
 	_ = conn.SetDeadline(started.Add(limit))
 	length := ""
 	if method != http.MethodGet {
