--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -38,7 +38,12 @@
 	return sendUntil(nil, address, method, path, id, extra, body, limit, each)
 }
 
-// sendUntil does the same, and closes the connection once the client has abandoned the request.
+// sendWithKey does the same with another key.
+func sendWithKey(address, apiKey, method, path, id, extra, body string, limit time.Duration) Answer {
+	return sendUntil(nil, address, method, path, id, "Api-Key: "+apiKey+"\r\n"+extra, body, limit, nil)
+}
+
+// sendUntil does the same as send, and closes the connection once the client has abandoned the request.
 func sendUntil(
 	abandoned <-chan struct{}, address, method, path, id, extra, body string, limit time.Duration, each func(event string),
 ) (answer Answer) {
@@ -61,12 +66,15 @@
 		}
 	}()
 	_ = conn.SetDeadline(started.Add(limit))
+	if !strings.HasPrefix(extra, "Api-Key:") {
+		extra = "Api-Key: " + clientKey + "\r\n" + extra
+	}
 	length := ""
 	if method != http.MethodGet {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	_, answer.Err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: %s\r\nApi-Key: %s\r\nX-Deadline-Ms: %d\r\n%s%s\r\n%s",
-		method, path, id, clientKey, limit.Milliseconds(), length, extra, body)
+	_, answer.Err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s%s\r\n%s",
+		method, path, id, limit.Milliseconds(), length, extra, body)
 	if answer.Err != nil {
 		return answer
 	}
