--- a/review/standins-2/case_config.go
+++ b/review/standins-2/case_config.go
@@ -109,6 +109,6 @@
 		}
 		tenants = append(tenants, map[string]any{"name": fmt.Sprintf("hule%04d", number), "api_keys": keys})
 	}
-	limits := map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 5000, "idle_timeout_ms": 10000}
+	limits := map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 	return map[string]any{"version": version, "routes": routes, "services": services, "limits": limits, "tenants": tenants}
 }
--- a/review/standins-2/case_parts.go
+++ b/review/standins-2/case_parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,13 +15,14 @@
 
 // playParts plays two machines with ordinary callers, and callers that nobody controls beside
 // them on a public route. Each request of these is of legal size; its line X-Prompt-Prefix lists
-// very many short parts. The rule is broken if a machine gives no ordinary caller an answer for
-// hangTime while both kinds of callers send, or if a process ends.
+// very many short parts. The rule is broken if, of the requests of ordinary callers that are still
+// unanswered at the timeout of their route, more than half have no answer half a second later, or if
+// a process ends.
 func playParts(world *World) int {
 	const (
 		ordinaryEvery, otherEvery = 100 * time.Millisecond, 100 * time.Millisecond
 		calm, attack, after       = 5 * time.Second, 40 * time.Second, 10 * time.Second
-		hangTime                  = 10 * time.Second
+		routeTimeout, late        = 5 * time.Second, 500 * time.Millisecond
 	)
 	store := NewStore()
 	storeAddress := world.Address(8223)
@@ -29,6 +31,7 @@
 	routes, _ := config["routes"].([]any)
 	open := map[string]any{"name": "r-2", "prefix": "/open/", "public": true}
 	keyed, _ := routes[0].(map[string]any)
+	keyed["timeout_ms"] = routeTimeout.Milliseconds()
 	for name, value := range keyed {
 		if _, own := open[name]; !own {
 			open[name] = value
@@ -58,6 +61,7 @@
 	var mutex sync.Mutex
 	ordinary, others := make([]tally, len(machines)), make([]tally, len(machines))
 	lastAnswer, longest := make([]time.Time, len(machines)), make([]time.Duration, len(machines))
+	atTimeout, afterwards := make([]int, len(machines)), make([]int, len(machines))
 	started := time.Now()
 	for number := range machines {
 		lastAnswer[number] = started
@@ -66,6 +70,19 @@
 		mutex.Lock()
 		defer mutex.Unlock()
 		kind[number].add(answer)
+		head := answer.HeadAfter
+		if head == 0 {
+			head = answer.Took
+			if answer.Status == 0 && head > routeTimeout+late {
+				head = math.MaxInt64
+			}
+		}
+		if counts && head > routeTimeout {
+			atTimeout[number]++
+		}
+		if counts && head > routeTimeout+late {
+			afterwards[number]++
+		}
 		if counts && answer.Whole && answer.Status == http.StatusOK {
 			longest[number] = max(longest[number], time.Since(lastAnswer[number]))
 			lastAnswer[number] = time.Now()
@@ -107,7 +124,9 @@
 		silent := max(longest[number], started.Add(calm+attack+after).Sub(lastAnswer[number]))
 		world.record.Add("%s: ordinary callers: %s; others: %s; longest time without any answer to an ordinary caller %.1f s, running %t",
 			machine.Name, ordinary[number], others[number], silent.Seconds(), machine.Running())
-		if silent >= hangTime || !machine.Running() {
+		world.record.Add("%s: %d requests of ordinary callers were unanswered at the timeout of the route, %d of them half a second later",
+			machine.Name, atTimeout[number], afterwards[number])
+		if 2*afterwards[number] > atTimeout[number] || !machine.Running() {
 			result = broken
 		}
 	}
--- a/review/standins-2/case_versions.go
+++ b/review/standins-2/case_versions.go
@@ -134,7 +134,7 @@
 			"name": "gen", "health_path": "/health", "max_connections": 370,
 			"engine": map[string]any{"slots": 64, "kv_cache_tokens": 573116, "stride": 5},
 		}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 5000, "idle_timeout_ms": 10000},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{clientKey}}},
 	}
 }
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -23,6 +23,8 @@
 	Whole bool
 	Err   error
 	Took  time.Duration
+	// HeadAfter is the time until the head of the answer came, 0 if none did.
+	HeadAfter time.Duration
 }
 
 const clientKey = "n2ctnfzs989anu6wsjnb"
@@ -83,7 +85,7 @@
 		answer.Err = err
 		return answer
 	}
-	answer.Status, answer.Header = response.StatusCode, response.Header
+	answer.Status, answer.Header, answer.HeadAfter = response.StatusCode, response.Header, time.Since(started)
 	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		read, err := io.ReadAll(response.Body)
 		answer.Body, answer.Err, answer.Whole = string(read), err, err == nil
