Review: play a killed machine of two as well

Cause: an entry without a link to another waits for the list to be confirmed again before a stream that it does not know goes on. Change: the case pair in the stand-ins.

--- a/review/standins-2/case_split.go
+++ b/review/standins-2/case_split.go
@@ -7,12 +7,15 @@
 	"time"
 )
 
-func init() { cases["split"] = playSplit }
+func init() {
+	cases["split"] = func(world *World) int { return playKill(world, 3, os.Getenv("SPLIT") != "0") }
+	cases["pair"] = func(world *World) int { return playKill(world, 2, false) }
+}
 
-// playSplit plays streams of a route that is split between two services at one of three machines,
-// which is then killed. The clients take the streams up at the other machines at once. All
-// runners are sound and of one version all the while. With SPLIT=0 the route is not split.
-func playSplit(world *World) int {
+// playKill plays streams at one of several machines, which is then killed. The clients take the
+// streams up at the other machines at once. All runners are sound and of one version all the
+// while. The route may be split between two services.
+func playKill(world *World, count int, isSplit bool) int {
 	const (
 		streams, events, pause = 16, 60, 100 * time.Millisecond
 		settled, untilKill     = 34 * time.Second, 2 * time.Second
@@ -24,12 +27,9 @@
 	config := streamConfig()
 	routes, _ := config["routes"].([]any)
 	route, _ := routes[0].(map[string]any)
-	if os.Getenv("SPLIT") != "0" {
+	if isSplit {
 		delete(route, "service")
-	}
-	split := []any{map[string]any{"service": "gen", "weight": 90}, map[string]any{"service": "gen-b", "weight": 10}}
-	if route["service"] == nil {
-		route["traffic_split"] = split
+		route["traffic_split"] = []any{map[string]any{"service": "gen", "weight": 90}, map[string]any{"service": "gen-b", "weight": 10}}
 	}
 	services, _ := config["services"].([]any)
 	second := map[string]any{"name": "gen-b"}
@@ -52,7 +52,7 @@
 		}
 		runner.Start()
 	}
-	machines := world.startMachines(3, storeAddress)
+	machines := world.startMachines(count, storeAddress)
 	time.Sleep(settled)
 
 	var group sync.WaitGroup
@@ -65,7 +65,7 @@
 			}
 			takenUp.add()
 			header := fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", len(first.Events), first.ID)
-			if more := world.playStream(machines[1+number%2], header, gap, deadline-first.Took); len(more.Events) > 0 {
+			if more := world.playStream(machines[1+number%(count-1)], header, gap, deadline-first.Took); len(more.Events) > 0 {
 				goneOn.add()
 			}
 		})
@@ -78,7 +78,7 @@
 	for number := range streams {
 		group.Go(func() {
 			fresh.add()
-			if answer := world.playStream(machines[1+number%2], "", gap, deadline); len(answer.Events) > 0 {
+			if answer := world.playStream(machines[1+number%(count-1)], "", gap, deadline); len(answer.Events) > 0 {
 				begun.add()
 			}
 		})
