Review: callers on the public route of case 6 send no key

Cause: the stand-in sent the key of an account there too, though the claim says that none is needed.

--- a/review/standins-2/case_parts.go
+++ b/review/standins-2/case_parts.go
@@ -29,7 +29,7 @@
 	store.Serve(storeAddress)
 	config := streamConfig()
 	routes, _ := config["routes"].([]any)
-	open := map[string]any{"name": "r-2", "prefix": "/open/", "public": true}
+	open := map[string]any{"name": "r-2", "prefix": publicPrefix, "public": true}
 	keyed, _ := routes[0].(map[string]any)
 	keyed["timeout_ms"] = routeTimeout.Milliseconds()
 	for name, value := range keyed {
@@ -106,7 +106,7 @@
 				parts = manyParts
 			}
 			for number, machine := range machines {
-				group.Go(func() { note(number, others, sendPrompt(machine.Front, "/open/a", parts), false) })
+				group.Go(func() { note(number, others, sendPrompt(machine.Front, publicPrefix+"a", parts), false) })
 			}
 		}
 	})
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -29,6 +29,9 @@
 
 const clientKey = "n2ctnfzs989anu6wsjnb"
 
+// publicPrefix begins the paths of public routes, on which clients send no key.
+const publicPrefix = "/open/"
+
 var lastID atomic.Int64
 
 // newID returns an id of a client attempt.
@@ -68,7 +71,7 @@
 		}
 	}()
 	_ = conn.SetDeadline(started.Add(limit))
-	if !strings.HasPrefix(extra, "Api-Key:") {
+	if !strings.HasPrefix(extra, "Api-Key:") && !strings.HasPrefix(path, publicPrefix) {
 		extra = "Api-Key: " + clientKey + "\r\n" + extra
 	}
 	length := ""
