--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -44,6 +44,7 @@
 func cannotRun(format string, arguments ...any) {
 	fmt.Fprintf(os.Stderr, "the case could not run: "+format+"\n", arguments...)
 	current.end()
+	_ = os.RemoveAll(current.folder)
 	os.Exit(cantStart)
 }
 
