Read the list for a stream that is taken up at an entry without peers

Cause: without a peer the only build of a pool was certain once the list had been confirmed since the last link closed. An idle watch confirms it every 2 s, a request waits for 0.4 s; and a confirmation did not have the waiting streams placed again. Change: the entry reads the changes of the list as it gets such a stream. Who began it at another build had read of that build in the store before, and reads are linearizable, so the read brings it too. Reads are paced: one in 100 ms, one a millisecond in all entries together. The store of the fleet tests may wait for changes as the real one does.

--- a/internal/command/verbs/platform_entry.go
+++ b/internal/command/verbs/platform_entry.go
@@ -85,8 +85,8 @@
 		ListExpiry:     read.ListExpiry,
 		Cold:           dispatch.ColdBounds{Ratio: read.ColdRatio, Slack: read.ColdSlack},
 		DroppedLines:   lines.Dropped,
-		WatchStore: func(watchCtx context.Context, post func(event.Input)) {
-			platform.NewWatcher(read.StoreAddress, observe.Log, post).Run(watchCtx)
+		WatchStore: func(watchCtx context.Context, asked <-chan event.ReadUpstreamChanges, post func(event.Input)) {
+			platform.NewWatcher(read.StoreAddress, observe.Log, post).Run(watchCtx, asked)
 		},
 	}, observe)
 	go reloadOnSignal(ctx, sighups, observe, entry)
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/evacuation"
 	"endivepost/internal/core/event"
+	"endivepost/internal/core/freshread"
 	"endivepost/internal/core/membership"
 	"endivepost/internal/core/mesh"
 	"endivepost/internal/core/streamorigin"
@@ -56,6 +57,8 @@
 	origins         *streamorigin.Origins
 	listConfirmed   bool
 	listConfirmedAt time.Duration
+	// listReads are the reads of the list that were asked for since a stream was taken up.
+	listReads freshread.Reads
 	// originsDue is when the streams that have begun are told, 0 if none are to be.
 	originsDue time.Duration
 	// originsPullDue is true if the peers are to be asked which builds they know, originsAskedAt
@@ -244,6 +247,7 @@
 	dispatcher.sendHeartbeat(now)
 	dispatcher.sendOrigins(now)
 	dispatcher.pullOrigins(now)
+	dispatcher.readList(now)
 	dispatcher.becomeReady()
 	dispatcher.reportDrained()
 	if dispatcher.mesh.Connected() {
@@ -281,6 +285,9 @@
 	if dispatcher.originsDue > 0 {
 		next = min(next, dispatcher.originsDue)
 	}
+	if due, needed := dispatcher.listReads.Due(dispatcher.lastStep, dispatcher.mesh.KnownCount()); needed {
+		next = min(next, due)
+	}
 	if dispatcher.requests.Len() > 0 {
 		next = min(next, dispatcher.livenessCheckDue)
 	}
--- a/internal/core/dispatch/fleet_test.go
+++ b/internal/core/dispatch/fleet_test.go
@@ -39,12 +39,16 @@
 	crashedAt    func(run *fleetRun)
 	stateChanged func(entry *fleetEntry, change event.StateChanged)
 	finished     func(run *fleetRun, finish event.Finish)
+	// readChanges answers an entry that asks for the changes of the published list.
+	readChanges func(entry *fleetEntry, asked event.ReadUpstreamChanges)
 	// published returns what an entry reads as it starts, restarted is called before.
 	published func(entry *fleetEntry) []event.Input
 	restarted func(entry *fleetEntry)
 	class     document.Class
 	pool      document.Pool
-	sequence  uint64
+	// secondPool is in the document if it has a name.
+	secondPool document.Pool
+	sequence   uint64
 	// prevented returns how an attempt ends that is not sent, 0 if it is.
 	prevented func(run *fleetRun) event.AttemptResult
 	// engineRestart is how long a crashed engine is down.
@@ -148,6 +152,7 @@
 	}
 	created.published = created.publishedAtStart
 	created.restarted = func(*fleetEntry) {}
+	created.readChanges = func(*fleetEntry, event.ReadUpstreamChanges) {}
 	created.class = fleetClass
 	created.pool = document.Pool{Name: "pool"}
 	created.prevented = func(*fleetRun) event.AttemptResult { return 0 }
@@ -198,9 +203,11 @@
 
 // document returns the class document of the version, as JSON.
 func (fleet *fleet) document(version uint64) []byte {
-	raw, _ := json.Marshal(document.Document{
-		Version: version, SelfRegistration: true, Classes: []document.Class{fleet.class}, Pools: []document.Pool{fleet.pool},
-	})
+	pools := []document.Pool{fleet.pool}
+	if fleet.secondPool.Name != "" {
+		pools = append(pools, fleet.secondPool)
+	}
+	raw, _ := json.Marshal(document.Document{Version: version, SelfRegistration: true, Classes: []document.Class{fleet.class}, Pools: pools})
 	return raw
 }
 
@@ -317,6 +324,8 @@
 		fleet.finished(run, output)
 	case event.StateChanged:
 		fleet.stateChanged(entry, output)
+	case event.ReadUpstreamChanges:
+		fleet.readChanges(entry, output)
 	case event.Dial:
 		fleet.dial(entry, output)
 	case event.CloseLink:
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -56,6 +56,7 @@
 		}
 		dispatcher.confirmList(now)
 	case event.UpstreamListConfirmed:
+		dispatcher.listReads = dispatcher.listReads.WithAnswer(input.AskedAt)
 		dispatcher.confirmList(now)
 		dispatcher.adoptListed(now)
 	case event.EvacuationsRead:
--- a/internal/core/dispatch/store_restore_test.go
+++ b/internal/core/dispatch/store_restore_test.go
@@ -36,6 +36,8 @@
 	restoredAt time.Duration
 	// writers are the start times of the processes that wrote the rows, by revision.
 	writers map[revision.Revision]int64
+	// idleWatch is how long a read waits for a change, 0 for none.
+	idleWatch time.Duration
 	// departures are what the entries learned of engines that left, by entry and engine.
 	departures map[knownEngine]knownDeparture
 	// versions are the highest versions that the entries had since their starts.
@@ -61,6 +63,7 @@
 // storeReader is how far an entry has read the store.
 type storeReader struct {
 	at           revision.Revision
+	readAt       time.Duration
 	generation   uint64
 	refused      bool
 	refusedUntil time.Duration
@@ -93,6 +96,7 @@
 	created.stateChanged = created.recordDeparture
 	created.published = func(*fleetEntry) []event.Input { return nil }
 	created.arrivedAt = created.checkArrival
+	created.readChanges = created.readAgain
 	created.store = publishedStore{revision: revision.New(1, 100), rows: make(map[string]event.Upstream)}
 	created.publishDocument()
 	for _, engine := range created.engines {
@@ -212,11 +216,31 @@
 		reader.refused = true
 		return
 	}
+	if !reader.refused && reader.at == fleet.store.revision && fleet.now-reader.readAt < fleet.idleWatch {
+		return
+	}
+	fleet.read(entry, event.UpstreamListConfirmed{})
+}
+
+// readAgain has an entry read at once what changed.
+func (fleet *restoredFleet) readAgain(entry *fleetEntry, asked event.ReadUpstreamChanges) {
+	reader, generation := fleet.readers[entry.number], entry.generation
+	fleet.after(storeDelay, func() {
+		if entry.generation == generation && reader.generation == generation && fleet.now >= reader.refusedUntil && !reader.refused {
+			fleet.read(entry, event.UpstreamListConfirmed(asked))
+		}
+	})
+}
+
+// read delivers what the store has that the entry does not know, then the confirmation.
+func (fleet *restoredFleet) read(entry *fleetEntry, confirmed event.UpstreamListConfirmed) {
+	reader := fleet.readers[entry.number]
 	inputs := []event.Input{event.DocumentRead{Raw: fleet.document(fleet.store.version)}}
 	if reader.refused {
 		inputs = append(inputs, event.StoreReachable{})
 	}
 	reader.refused = false
+	reader.readAt = fleet.now
 	if reader.at.Era != fleet.store.revision.Era {
 		rows := slices.SortedFunc(maps.Values(fleet.store.rows), func(a, b event.Upstream) int { return int(a.Revision) - int(b.Revision) })
 		inputs = append(inputs, event.UpstreamListRead{Upstreams: rows, Revision: fleet.store.revision})
@@ -224,8 +248,7 @@
 		inputs = append(inputs, fleet.changesSince(reader.at)...)
 	}
 	reader.at = fleet.store.revision
-	inputs = append(inputs, event.UpstreamListConfirmed{})
-	fleet.deliver(entry, entry.generation, inputs...)
+	fleet.deliver(entry, entry.generation, append(inputs, confirmed)...)
 }
 
 func (fleet *restoredFleet) changesSince(at revision.Revision) []event.Input {
--- a/internal/core/dispatch/stream_origins.go
+++ b/internal/core/dispatch/stream_origins.go
@@ -13,8 +13,8 @@
 // response, and when its caller takes it up again. The entry that began it knows the build,
 // and tells the others while several builds serve. For a stream that is not known the build is
 // certain if there has been only one for as long as a stream may last. What this entry knows of
-// that may be out of date, so it asks the others when the stream is taken up. A stream whose
-// build is not certain does not go on.
+// that may be out of date, so it reads the list and asks the others when the stream is taken
+// up. A stream whose build is not certain does not go on.
 
 // listConfirmation is how long the upstream list counts as up to date after the
 // configuration service has confirmed it.
@@ -98,25 +98,45 @@
 }
 
 // onlyBuild returns the only build that the request's pool has had for as long as a stream may
-// last, if that is certain. It is not while a new build could be in service without this entry
-// hearing of it: whoever is connected must have answered since the request arrived, and the
-// list be up to date here or there, or all known entries be connected. Without any connection
-// the list must have been confirmed since the last one closed.
+// last, if that is certain. Who began the stream at another build had read of it in the list, so
+// a read since the stream was taken up brings that one too. An entry that is connected to others
+// asks them instead.
 func (dispatcher *Dispatcher) onlyBuild(now time.Duration, row requestRow) (build string, certain bool) {
 	build, certain = dispatcher.origins.OnlyBuild(now, row.pool)
-	if !certain || !dispatcher.mesh.Connected() {
-		return build, certain && dispatcher.listUpToDate(now) && dispatcher.listConfirmedAt > dispatcher.connectedAt
+	if !certain {
+		return "", false
 	}
+	if dispatcher.mesh.Connected() {
+		return build, dispatcher.peersConfirm(now, row)
+	}
+	dispatcher.listReads = dispatcher.listReads.WithNeed(row.arrived, row.waitDeadline)
+	return build, dispatcher.listReads.Since(row.arrived) || dispatcher.listUpToDate(now) && dispatcher.listConfirmedAt > dispatcher.connectedAt
+}
+
+// readList asks for the list's changes if a stream that was taken up depends on them.
+func (dispatcher *Dispatcher) readList(now time.Duration) {
+	due, needed := dispatcher.listReads.Due(now, dispatcher.mesh.KnownCount())
+	if !needed || now < due {
+		return
+	}
+	dispatcher.listReads = dispatcher.listReads.WithAsked(now)
+	dispatcher.emit(event.ReadUpstreamChanges{AskedAt: now})
+}
+
+// peersConfirm returns whether no build can be in service of which this entry has not heard,
+// without a read of the list: whoever is connected must have answered since the request arrived,
+// and the list be up to date here or there, or all known entries be connected.
+func (dispatcher *Dispatcher) peersConfirm(now time.Duration, row requestRow) bool {
 	upToDate := dispatcher.listUpToDate(now) || dispatcher.mesh.FullyConnected()
 	for _, link := range dispatcher.mesh.Links() {
 		answer, answered := dispatcher.originsAnswers[link]
 		if !answered || answer.stamp < row.arrived {
 			dispatcher.originsPullDue = dispatcher.originsPullDue || dispatcher.originsAskedAt < row.arrived
-			return "", false
+			return false
 		}
 		upToDate = upToDate || answer.confirmed
 	}
-	return build, upToDate
+	return upToDate
 }
 
 // originsAnswer is what a peer answered when it was asked at the stamp: whether its list was up to
@@ -166,6 +186,7 @@
 	dispatcher.listConfirmedAt = now
 	dispatcher.settleBreaks(now)
 	dispatcher.observeBuilds(now)
+	dispatcher.placeUnknownStreams()
 }
 
 // observeBuilds records the builds that are listed now.
@@ -208,6 +229,11 @@
 func (dispatcher *Dispatcher) mergeOrigins(now time.Duration, report message.StreamOrigins) {
 	dispatcher.origins.Merge(now, report, dispatcher.mesh.KnownCount() > largeFleet)
 	dispatcher.scheduleOrigins(now)
+	dispatcher.placeUnknownStreams()
+}
+
+// placeUnknownStreams has the streams placed again of which the build was not known.
+func (dispatcher *Dispatcher) placeUnknownStreams() {
 	dispatcher.upstreamsChanged = dispatcher.upstreamsChanged || dispatcher.waitsForOrigin
 	dispatcher.waitsForOrigin = false
 }
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -66,8 +66,13 @@
 }
 
 // UpstreamListConfirmed reports that the published list has no changes up to now but those
-// that were reported.
-type UpstreamListConfirmed struct{}
+// that were reported. If the list was read for a ReadUpstreamChanges, AskedAt is that of it, else 0.
+type UpstreamListConfirmed struct{ AskedAt time.Duration }
+
+// ReadUpstreamChanges asks the shell to read the changes of the published list at once. The
+// shell reports them and UpstreamListConfirmed, or nothing if the configuration service does
+// not respond. AskedAt is the uptime of the process.
+type ReadUpstreamChanges struct{ AskedAt time.Duration }
 
 // UpstreamProbed reports, after UpstreamSilent, whether a new connection to the upstream
 // could be opened.
@@ -435,8 +440,9 @@
 func (AttemptEnded) input()          {}
 func (AttemptProgressed) input()     {}
 
-func (Attempt) output()        {}
-func (QueryCache) output()     {}
-func (StateChanged) output()   {}
-func (CrashCause) output()     {}
-func (UpstreamSilent) output() {}
+func (Attempt) output()             {}
+func (QueryCache) output()          {}
+func (ReadUpstreamChanges) output() {}
+func (StateChanged) output()        {}
+func (CrashCause) output()          {}
+func (UpstreamSilent) output()      {}
--- a/internal/node/direct/direct.go
+++ b/internal/node/direct/direct.go
@@ -58,9 +58,11 @@
 	// acceptedAt is when the active document was accepted, in Unix nanoseconds.
 	acceptedAt atomic.Int64
 	sequence   atomic.Uint64
-	mutex      sync.Mutex
-	links      map[string]numberedLink
-	active     map[message.RequestID]*commands
+	// listReads has the newest read of the upstream list that was asked for.
+	listReads chan event.ReadUpstreamChanges
+	mutex     sync.Mutex
+	links     map[string]numberedLink
+	active    map[message.RequestID]*commands
 	// limited has the upstreams of which a rate limit is known.
 	limited map[string]bool
 	// invalidBackoffs has the upstreams that asked for an invalid backoff.
@@ -102,8 +104,8 @@
 	// was not read fast enough.
 	DroppedLines func() int64
 	// WatchStore posts changes of the document and of the upstream list until the
-	// context is done.
-	WatchStore func(ctx context.Context, post func(event.Input))
+	// context is done, those of the list at once when asked.
+	WatchStore func(ctx context.Context, asked <-chan event.ReadUpstreamChanges, post func(event.Input))
 }
 
 // numberedLink is a link and the number that distinguishes it from earlier links with
@@ -152,6 +154,7 @@
 		limited:   make(map[string]bool),
 
 		invalidBackoffs: make(map[string]bool),
+		listReads:       make(chan event.ReadUpstreamChanges, 1),
 	}
 	entry.rejections = guard.NewLogLimit()
 	entry.guard = guard.New(guard.Settings{MemoryBytes: settings.MemoryBytes, MaxDescriptors: settings.MaxDescriptors, Rejected: entry.countRejection})
@@ -194,7 +197,7 @@
 	}
 	go entry.loop.Run(running)
 	entry.AddPeers(entry.settings.Peers)
-	go entry.settings.WatchStore(running, entry.handleStoreInput)
+	go entry.settings.WatchStore(running, entry.listReads, entry.handleStoreInput)
 	go entry.prune(running)
 	entry.log(logevent.Started).WithFields(logrus.Fields{
 		"domain": entry.settings.Domain, "listen": entry.settings.CallerAddress, "peers": len(entry.settings.Peers),
@@ -274,6 +277,8 @@
 		}
 	case event.QueryCache:
 		go entry.queryCache(output)
+	case event.ReadUpstreamChanges:
+		entry.readList(output)
 	case event.Send:
 		if found, ok := entry.findLink(output.Peer, output.Link); ok {
 			found.Send(output.Message)
@@ -289,6 +294,17 @@
 	}
 }
 
+// readList has the changes of the upstream list read at once. A read that was asked for before
+// and has not begun is dropped: this one serves for both.
+func (entry *Entry) readList(asked event.ReadUpstreamChanges) {
+	entry.telemetry.Metrics.Counter("list_reads").Inc(1)
+	select {
+	case <-entry.listReads:
+	default:
+	}
+	entry.listReads <- asked
+}
+
 // stateEvents maps the states of an upstream or request to log events.
 var stateEvents = map[event.State]logevent.Name{
 	event.Usable: logevent.UpstreamUsable, event.Leaving: logevent.UpstreamLeft,
