Read the list for a stream that is taken up while a peer stands still

Cause: where a pool has one build, the entry asked all that are connected which builds they know and waited for each. A frozen entry counts as connected for 2.5 s and does not answer. Not to wait for it would join builds: it may have begun streams at one that the others have not read of. Change: the entry reads the list's changes for such a stream with peers as without. Whatever the silent one had read of, the read brings. Peers are asked beside it, for when the list cannot be read.

--- a/internal/core/dispatch/stream_origins.go
+++ b/internal/core/dispatch/stream_origins.go
@@ -99,18 +99,15 @@
 
 // onlyBuild returns the only build that the request's pool has had for as long as a stream may
 // last, if that is certain. Who began the stream at another build had read of it in the list, so
-// a read since the stream was taken up brings that one too. An entry that is connected to others
-// asks them instead.
+// a read since the stream was taken up brings that one too. While the list cannot be read, the
+// peers may know.
 func (dispatcher *Dispatcher) onlyBuild(now time.Duration, row requestRow) (build string, certain bool) {
 	build, certain = dispatcher.origins.OnlyBuild(now, row.pool)
-	if !certain {
-		return "", false
-	}
-	if dispatcher.mesh.Connected() {
-		return build, dispatcher.peersConfirm(now, row)
+	if !certain || dispatcher.listReads.Since(row.arrived) {
+		return build, certain
 	}
 	dispatcher.listReads = dispatcher.listReads.WithNeed(row.arrived, row.waitDeadline)
-	return build, dispatcher.listReads.Since(row.arrived) || dispatcher.listUpToDate(now) && dispatcher.listConfirmedAt > dispatcher.connectedAt
+	return build, dispatcher.peersConfirm(now, row)
 }
 
 // readList asks for the list's changes if a stream that was taken up depends on them.
@@ -125,8 +122,12 @@
 
 // peersConfirm returns whether no build can be in service of which this entry has not heard,
 // without a read of the list: whoever is connected must have answered since the request arrived,
-// and the list be up to date here or there, or all known entries be connected.
+// and the list be up to date here or there, or all known entries be connected. Without any
+// connection the list must have been confirmed since the last one closed.
 func (dispatcher *Dispatcher) peersConfirm(now time.Duration, row requestRow) bool {
+	if !dispatcher.mesh.Connected() {
+		return dispatcher.listUpToDate(now) && dispatcher.listConfirmedAt > dispatcher.connectedAt
+	}
 	upToDate := dispatcher.listUpToDate(now) || dispatcher.mesh.FullyConnected()
 	for _, link := range dispatcher.mesh.Links() {
 		answer, answered := dispatcher.originsAnswers[link]
--- a/internal/core/dispatch/taken_up_streams_test.go
+++ b/internal/core/dispatch/taken_up_streams_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,6 +39,8 @@
 const (
 	// strikeAt is long enough after beforeRelease for all streams to have begun.
 	strikeAt = beforeRelease + 3*time.Second
+	// joinAt is when a second build joins before the streams begin.
+	joinAt = beforeRelease - 100*time.Millisecond
 	// A caller whose entry closes its connection comes back at once, another one after a gap
 	// of two seconds without an event, the last of which came somewhat earlier.
 	closedGap, silentGap = 50 * time.Millisecond, 1900 * time.Millisecond
@@ -167,6 +170,9 @@
 	fleet.readers[entry.number].refusedUntil = fleet.now + deadTime
 }
 
+// freeze stops the entry for a time.
+func (fleet *takeUpFleet) freeze(entry *fleetEntry) { fleet.pause(entry, frozenTime) }
+
 // stopBefore has the first entry stop as after SIGTERM, with that time until it exits. Its exit cuts
 // the streams that are left: the strike.
 func (fleet *takeUpFleet) stopBefore(grace time.Duration) {
@@ -176,20 +182,104 @@
 	})
 }
 
+// join has two engines of a second build join at the time.
+func (fleet *takeUpFleet) join(at time.Duration) {
+	fleet.at(at, func() {
+		for range 2 {
+			added := &fleetEngine{name: fmt.Sprintf("engine-%d", len(fleet.engines))}
+			fleet.engines = append(fleet.engines, added)
+			fleet.pools[added.name] = "pool"
+			fleet.addEngine(added, "v2")
+		}
+	})
+}
+
+// cutSurvivors cuts the entries that are not struck off from the others, and has the store refuse
+// them, until long after the strike.
+func (fleet *takeUpFleet) cutSurvivors(from time.Duration, fromEntries, fromStore bool) {
+	fleet.at(from, func() {
+		for _, entry := range fleet.entries[fleet.setting.struck:] {
+			if fromEntries {
+				fleet.cutOff(entry, strikeAt+10*time.Second-from)
+			}
+			if fromStore {
+				fleet.readers[entry.number].refusedUntil = strikeAt + 10*time.Second
+			}
+		}
+	})
+}
+
+// freezeSurvivors has the entries that are not struck stand still until the strike.
+func (fleet *takeUpFleet) freezeSurvivors(from time.Duration) {
+	fleet.at(from, func() {
+		for _, entry := range fleet.entries[fleet.setting.struck:] {
+			fleet.pause(entry, strikeAt-from)
+		}
+	})
+}
+
 // restart starts an entry anew at the time.
 func (fleet *takeUpFleet) restart(at time.Duration, number int) {
 	fleet.at(at, func() { fleet.start(fleet.entries[number]) })
 }
 
-var killed = (*takeUpFleet).kill
+var (
+	killed = (*takeUpFleet).kill
+	frozen = (*takeUpFleet).freeze
+)
 
 var takeUpSettings = []takeUpSetting{
 	{name: "one of two killed", entries: 2, struck: 1, strike: killed, gap: closedGap},
+	{name: "one of two frozen", entries: 2, struck: 1, strike: frozen, gap: silentGap},
+	{name: "one of three killed", entries: 3, struck: 1, strike: killed, gap: closedGap},
+	{name: "one of three frozen", entries: 3, struck: 1, strike: frozen, gap: silentGap},
 	{name: "two of three killed", entries: 3, struck: 2, strike: killed, gap: closedGap},
+	{name: "two of three frozen", entries: 3, struck: 2, strike: frozen, gap: silentGap},
 	{name: "one of two stopped", entries: 2, struck: 1, strike: killed, gap: closedGap,
 		prepare: func(fleet *takeUpFleet) { fleet.stopBefore(900 * time.Millisecond) }},
+	{name: "one of three stopped", entries: 3, struck: 1, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.stopBefore(900 * time.Millisecond) }},
+	{name: "eight of forty killed", entries: 40, struck: 8, strike: killed, gap: closedGap},
+	{name: "eight of forty frozen", entries: 40, struck: 8, strike: frozen, gap: silentGap},
 	{name: "the other of two has just started", entries: 2, struck: 1, strike: killed, gap: closedGap,
 		prepare: func(fleet *takeUpFleet) { fleet.restart(strikeAt-time.Second, 1) }},
+	{name: "one of three has just started, another is frozen", entries: 3, struck: 1, strike: frozen, gap: silentGap,
+		prepare: func(fleet *takeUpFleet) { fleet.restart(strikeAt-time.Second, 1) }},
+	{name: "two builds, one of two killed", entries: 2, struck: 1, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.join(beforeRelease - 10*time.Second) }},
+	{name: "two builds, one of three frozen", entries: 3, struck: 1, strike: frozen, gap: silentGap,
+		prepare: func(fleet *takeUpFleet) { fleet.join(beforeRelease - 10*time.Second) }},
+	{name: "a second build joins while streams run", entries: 3, struck: 1, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.join(strikeAt - time.Second) }},
+	{name: "a second build joins before the streams begin", entries: 2, struck: 1, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.join(joinAt) }},
+	{name: "the others cannot read of a second build", entries: 3, struck: 1, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) {
+			fleet.join(joinAt)
+			fleet.cutSurvivors(joinAt, false, true)
+		}},
+	{name: "the others are cut off as a second build joins", entries: 3, struck: 1, strike: killed, gap: closedGap, unknowable: true,
+		prepare: func(fleet *takeUpFleet) {
+			fleet.join(joinAt)
+			fleet.cutSurvivors(joinAt, true, true)
+		}},
+	{name: "the others are cut off from entries as a second build joins", entries: 2, struck: 1, strike: killed, gap: closedGap, unknowable: true,
+		prepare: func(fleet *takeUpFleet) {
+			fleet.join(joinAt)
+			fleet.cutSurvivors(joinAt, true, false)
+		}},
+	{name: "the others stand still as a second build joins", entries: 3, struck: 1, strike: frozen, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) {
+			fleet.join(joinAt)
+			fleet.freezeSurvivors(joinAt - 10*time.Millisecond)
+		}},
+	{name: "the other of two stands still as a second build joins", entries: 2, struck: 1, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) {
+			fleet.join(joinAt)
+			fleet.freezeSurvivors(joinAt - 10*time.Millisecond)
+		}},
+	{name: "forty entries, a second build joins before the streams begin", entries: 40, struck: 8, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.join(joinAt) }},
 }
 
 // TestStreamsAreTakenUpElsewhere guards against streams that are refused although sound engines of
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -166,6 +166,10 @@
   's/!answered \|\| answer\.stamp < row\.arrived/!answered/' $dispatch TestStreamsAreTakenUpAtEntryOutOfStep
 mutant "Ask which builds serve: an old list counts without connections" internal/core/dispatch/stream_origins.go \
   's/ && dispatcher\.listConfirmedAt > dispatcher\.connectedAt//' $dispatch TestStreamsAreTakenUpAtEntryOutOfStep
+mutant "Read the list anew: an old read counts" internal/core/freshread/freshread.go \
+  's/return reads\.answeredFor > 0 \&\& reads\.answeredFor >= event/return true/' $dispatch TestStreamsAreTakenUpAtEntryOutOfStep
+mutant "Read the list anew: no read" internal/core/dispatch/stream_origins.go \
+  's/if !needed \|\| now < due/if needed || now < due/' $dispatch TestStreamsAreTakenUpElsewhere
 mutant "stop: late requests are taken until the exit" internal/core/dispatch/drain.go \
   's/dispatcher\.exitAt-lastAnswers \{/dispatcher.exitAt {/' ./platform TestLateRequestsOfStopAreCut
 mutant "A name is a process: breaks are ignored" internal/core/dispatch/restarts.go \
