Draw the pool of a stream by its identity, so that each entry knows it

Cause: the pool of a request was drawn at random, so only the entry that drew it knew it, and a pool's only build was therefore not used for classes with more than one. For a class with one it was used also if another pool had served the class until lately. Change: of a class with several pools, the pool of a stream that may be taken up is drawn by the stream's identity.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"endivepost/internal/config/distribution"
+	"endivepost/internal/core/classpools"
 	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/evacuation"
 	"endivepost/internal/core/event"
@@ -57,6 +58,8 @@
 	origins         *streamorigin.Origins
 	listConfirmed   bool
 	listConfirmedAt time.Duration
+	// classPools are the pools that served each class lately.
+	classPools *classpools.History
 	// listReads are the reads of the list that were asked for since a stream was taken up.
 	listReads freshread.Reads
 	// originsDue is when the streams that have begun are told, 0 if none are to be.
@@ -204,6 +207,7 @@
 		requestDue:  timerqueue.New[message.RequestID](),
 		crashCauses: crashcause.New(),
 		origins:     streamorigin.New(),
+		classPools:  classpools.New(streamorigin.Retention),
 
 		originsAnswers: make(map[string]originsAnswer),
 		retryWindows:   make(map[string]*retrywindow.Window),
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -123,11 +123,12 @@
 }
 
 // emitConfig emits the outputs of the configuration distribution. After a new
-// document was accepted, a heartbeat with its version is sent at once.
+// document was accepted, its classes are recorded and a heartbeat with its version is sent at once.
 func (dispatcher *Dispatcher) emitConfig(now time.Duration, outputs []event.Output) {
 	dispatcher.emit(outputs...)
 	for _, output := range outputs {
-		if _, accepted := output.(event.DocumentAccepted); accepted {
+		if accepted, ok := output.(event.DocumentAccepted); ok {
+			dispatcher.classPools.Observe(now, accepted.Document.Classes)
 			dispatcher.heartbeatDue = min(dispatcher.heartbeatDue, now)
 		}
 	}
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"endivepost/internal/config/document"
 	"endivepost/internal/core/event"
 	"endivepost/internal/policy/retrywindow"
+	"endivepost/internal/policy/trafficsplit"
 	"endivepost/internal/wire/message"
 )
 
@@ -24,7 +24,7 @@
 		dispatcher.emit(event.Finish{ID: request.ID, Outcome: message.NotRun, Reason: reason, RetryAfter: retryAfter})
 		return
 	}
-	row.pool = dispatcher.pickPool(request.Class.Split)
+	row.pool = dispatcher.pickPool(request)
 	row.begun = request.TakenUp && request.Class.Streamed && request.Class.Resumable
 	row.latencySensitive = dispatcher.latencySensitive(now, row)
 	dispatcher.place(now, row)
@@ -39,23 +39,14 @@
 	return message.NoReason, 0
 }
 
-// pickPool draws a pool at random, weighted by the class's traffic split.
-func (dispatcher *Dispatcher) pickPool(split []document.Share) string {
-	total := 0
-	for _, share := range split {
-		total += share.Weight
-	}
-	if total <= 0 {
-		return split[0].Pool
-	}
-	drawn := dispatcher.settings.Random.IntN(total)
-	for _, share := range split {
-		if drawn < share.Weight {
-			return share.Pool
-		}
-		drawn -= share.Weight
-	}
-	return split[len(split)-1].Pool
+// pickPool draws the pool of a new request. All entries draw the same pool for a stream that its
+// caller may take up at another entry.
+func (dispatcher *Dispatcher) pickPool(request event.Request) string {
+	split := trafficsplit.New(request.Class.Split)
+	if len(request.Class.Split) > 1 && request.Class.Streamed && request.Class.Resumable && request.Stream != 0 {
+		return split.DrawFor(request.Stream)
+	}
+	return split.Draw(dispatcher.settings.Random)
 }
 
 // place sends the request to an upstream, enqueues it if that one has no capacity,
--- a/internal/core/dispatch/stream_origins.go
+++ b/internal/core/dispatch/stream_origins.go
@@ -39,7 +39,7 @@
 		row.pool, row.build, row.buildKnown = pool, build, true
 		return row
 	}
-	if build, certain := dispatcher.onlyBuild(now, row); certain && len(row.request.Class.Split) == 1 {
+	if build, certain := dispatcher.onlyBuild(now, row); certain {
 		row.build, row.buildKnown = build, true
 		dispatcher.origins.Record(now, row.request.Stream, row.pool, build)
 	}
@@ -97,12 +97,12 @@
 	}
 }
 
-// onlyBuild returns the only build that the request's pool has had for as long as a stream may
-// last, if that is certain. Who began the stream at another build had read of it in the list, so
+// onlyBuild returns the only build that the pools which may have begun the stream have had for as
+// long as a stream may last, if that is certain. Who began the stream at another build had read of it in the list, so
 // a read since the stream was taken up brings that one too. While the list cannot be read, the
 // peers may know.
 func (dispatcher *Dispatcher) onlyBuild(now time.Duration, row requestRow) (build string, certain bool) {
-	build, certain = dispatcher.origins.OnlyBuild(now, row.pool)
+	build, certain = dispatcher.origins.OnlyBuild(now, dispatcher.classPools.Candidates(now, row.request.Class, row.request.Stream)...)
 	if !certain || dispatcher.listReads.Since(row.arrived) {
 		return build, certain
 	}
--- a/internal/core/dispatch/taken_up_streams_test.go
+++ b/internal/core/dispatch/taken_up_streams_test.go
@@ -194,6 +194,20 @@
 	})
 }
 
+// split has the class served by two pools, the second of which has engines of the build.
+func (fleet *takeUpFleet) split(build string) {
+	fleet.secondPool = document.Pool{Name: "second"}
+	fleet.class.Split = []document.Share{{Pool: "pool", Weight: 60}, {Pool: "second", Weight: 40}}
+	fleet.publishDocument()
+	for _, engine := range fleet.engines[:3] {
+		fleet.pools[engine.name] = "second"
+		fleet.builds[engine.name] = build
+		row := fleet.states[engine.name].row
+		row.Pool, row.Build = "second", build
+		fleet.write(row)
+	}
+}
+
 // cutSurvivors cuts the entries that are not struck off from the others, and has the store refuse
 // them, until long after the strike.
 func (fleet *takeUpFleet) cutSurvivors(from time.Duration, fromEntries, fromStore bool) {
@@ -245,6 +259,14 @@
 		prepare: func(fleet *takeUpFleet) { fleet.restart(strikeAt-time.Second, 1) }},
 	{name: "one of three has just started, another is frozen", entries: 3, struck: 1, strike: frozen, gap: silentGap,
 		prepare: func(fleet *takeUpFleet) { fleet.restart(strikeAt-time.Second, 1) }},
+	{name: "split, one of three killed", entries: 3, struck: 1, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.split("v1") }},
+	{name: "split, one of three frozen", entries: 3, struck: 1, strike: frozen, gap: silentGap,
+		prepare: func(fleet *takeUpFleet) { fleet.split("v1") }},
+	{name: "split between two builds, one of two killed", entries: 2, struck: 1, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.split("v2") }},
+	{name: "split, forty entries", entries: 40, struck: 8, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.split("v1") }},
 	{name: "two builds, one of two killed", entries: 2, struck: 1, strike: killed, gap: closedGap,
 		prepare: func(fleet *takeUpFleet) { fleet.join(beforeRelease - 10*time.Second) }},
 	{name: "two builds, one of three frozen", entries: 3, struck: 1, strike: frozen, gap: silentGap,
--- a/internal/core/streamorigin/streamorigin.go
+++ b/internal/core/streamorigin/streamorigin.go
@@ -229,10 +229,17 @@
 	origins.told = 0
 }
 
-// OnlyBuild returns the only build that the pool has had for Retention, if that is certain.
-func (origins *Origins) OnlyBuild(now time.Duration, pool string) (build string, certain bool) {
-	for found := range origins.lastListed[pool] {
-		build = found
+// OnlyBuild returns the only build that the pools have had for Retention, if that is certain.
+func (origins *Origins) OnlyBuild(now time.Duration, pools ...string) (build string, certain bool) {
+	builds := make(map[string]bool)
+	for _, pool := range pools {
+		if len(origins.lastListed[pool]) == 0 {
+			return "", false
+		}
+		for found := range origins.lastListed[pool] {
+			builds[found] = true
+			build = found
+		}
 	}
-	return build, len(origins.lastListed[pool]) == 1 && origins.observed(now) >= Retention
+	return build, len(builds) == 1 && origins.observed(now) >= Retention
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -170,6 +170,10 @@
   's/return reads\.answeredFor > 0 \&\& reads\.answeredFor >= event/return true/' $dispatch TestStreamsAreTakenUpAtEntryOutOfStep
 mutant "Read the list anew: no read" internal/core/dispatch/stream_origins.go \
   's/if !needed \|\| now < due/if needed || now < due/' $dispatch TestStreamsAreTakenUpElsewhere
+mutant "Split: the pool of a stream is drawn at random" internal/core/dispatch/requests.go \
+  's/split\.DrawFor\(request\.Stream\)/split.Draw(dispatcher.settings.Random)/' $dispatch TestStreamsAreTakenUpElsewhere
+mutant "Split: a pool that served the class before is forgotten" internal/core/classpools/classpools.go \
+  's/len\(former\) == 0 \&\& stream != 0/stream != 0/' ./internal/core/classpools TestCandidates
 mutant "stop: late requests are taken until the exit" internal/core/dispatch/drain.go \
   's/dispatcher\.exitAt-lastAnswers \{/dispatcher.exitAt {/' ./platform TestLateRequestsOfStopAreCut
 mutant "A name is a process: breaks are ignored" internal/core/dispatch/restarts.go \
