Tell all streams in fleets of at most 24 entries

Callers would see: a second build joins, or the store goes away, and their entry is lost; none of their streams goes on elsewhere although upstreams of its build serve. A class that moves to a pool of another build takes its streams along to that build. Cause: streams of a pool with one build were told to nobody. Once a second build has joined nobody is left to tell them, and without the store the only build is not certain. Change: a heartbeat carries the streams that have begun whatever their builds, if the fleet has at most 24 entries. A stream of a known build goes on in a pool that serves its class now; it was refused where the class had moved. The tests of core, platform and node/direct pass without the race detector; lint clean.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -232,6 +232,7 @@
 	clear(dispatcher.pools)
 	clear(dispatcher.cold.places)
 	dispatcher.observePause(now)
+	dispatcher.origins.TellAll(dispatcher.mesh.KnownCount() <= largeFleet)
 	dispatcher.reviewCold(now)
 	for _, input := range inputs {
 		dispatcher.handleInput(now, input)
--- a/internal/core/dispatch/stream_origins.go
+++ b/internal/core/dispatch/stream_origins.go
@@ -30,13 +30,17 @@
 }
 
 // withKnownBuild returns the row of a stream that was taken up with the build that began it,
-// if that is certain.
+// if that is certain. It goes on in the pool that began it, or, if its class is served by others
+// now, in one of them.
 func (dispatcher *Dispatcher) withKnownBuild(now time.Duration, row requestRow) requestRow {
 	if !row.begun || row.buildKnown {
 		return row
 	}
 	if pool, build, known := dispatcher.origins.Find(row.request.Stream); known {
-		row.pool, row.build, row.buildKnown = pool, build, true
+		if serves(row.request.Class, pool) {
+			row.pool = pool
+		}
+		row.build, row.buildKnown = build, true
 		return row
 	}
 	if build, certain := dispatcher.onlyBuild(now, row); certain {
@@ -52,13 +56,17 @@
 	if !row.begun || !row.buildKnown {
 		return false
 	}
-	served := slices.ContainsFunc(row.request.Class.Split, func(share document.Share) bool { return share.Pool == row.pool && share.Weight > 0 })
 	usable := dispatcher.pool(now, row.pool).usable
-	return !served || len(usable) > 0 && !slices.ContainsFunc(usable, func(upstream event.Upstream) bool {
+	return !serves(row.request.Class, row.pool) || len(usable) > 0 && !slices.ContainsFunc(usable, func(upstream event.Upstream) bool {
 		return upstream.Build == row.build || dispatcher.fitsBuild(now, row, upstream)
 	})
 }
 
+// serves returns whether the class is served by the pool.
+func serves(class document.Class, pool string) bool {
+	return slices.ContainsFunc(class.Split, func(share document.Share) bool { return share.Pool == pool && share.Weight > 0 })
+}
+
 // recordOrigin records the build of a stream whose first event has come, and returns its row.
 func (dispatcher *Dispatcher) recordOrigin(now time.Duration, row requestRow) requestRow {
 	if row.begun || !row.request.Class.Streamed || !row.request.Class.Resumable {
@@ -73,7 +81,7 @@
 // scheduleOrigins has the streams that are to be told sent soon: their callers may take them
 // up at another entry at once if this one stops.
 func (dispatcher *Dispatcher) scheduleOrigins(now time.Duration) {
-	if !dispatcher.mesh.Connected() || !dispatcher.origins.Untold(now) {
+	if !dispatcher.mesh.Connected() || !dispatcher.origins.Urgent(now) {
 		return
 	}
 	delay := originsDelay
@@ -91,7 +99,7 @@
 		return
 	}
 	dispatcher.originsDue = 0
-	if dispatcher.origins.Untold(now) {
+	if dispatcher.origins.Urgent(now) {
 		dispatcher.emit(dispatcher.mesh.Send(dispatcher.reportOrigins(now))...)
 		dispatcher.scheduleOrigins(now)
 	}
--- a/internal/core/streamorigin/streamorigin.go
+++ b/internal/core/streamorigin/streamorigin.go
@@ -12,9 +12,10 @@
 )
 
 // Origins holds the builds of the streams that this entry or its peers began within
-// Retention, and the builds that each pool had in that time. The streams are told to peers
-// only while a pool has several builds, or may have had several: otherwise the pool's only
-// build is that of all its streams.
+// Retention, and the builds that each pool had in that time. The streams of a pool that has
+// several builds, or may have had several, are told to peers soon. Otherwise the pool's only
+// build is that of all its streams, and they are told with the next report, if at all: a
+// second build may join just before this entry is lost.
 type Origins struct {
 	streams map[uint64]origin
 	// order has the streams from the oldest on, told is how many of them were reported.
@@ -22,6 +23,8 @@
 	told  int
 	// lastListed is when each build was last listed, by pool.
 	lastListed map[string]map[string]time.Duration
+	// tellsAll is true if the streams of pools with one build are reported as well.
+	tellsAll bool
 	// observing is true once the upstream list was read, at observedSince.
 	observing     bool
 	observedSince time.Duration
@@ -47,6 +50,12 @@
 	return &Origins{streams: make(map[uint64]origin), lastListed: make(map[string]map[string]time.Duration)}
 }
 
+// TellAll sets whether peers are told all streams, or only those of pools that have several
+// builds or may have had several.
+func (origins *Origins) TellAll(all bool) {
+	origins.tellsAll = all
+}
+
 // Record records the build that began the stream of the pool. A build that is known stays.
 // Stream 0 stands for any that is unknown and is not recorded.
 func (origins *Origins) Record(now time.Duration, stream uint64, pool, build string) {
@@ -118,7 +127,7 @@
 	count := 0
 	for _, stream := range origins.order {
 		found := origins.streams[stream]
-		if !origins.tells(now, found.pool) {
+		if !origins.reports(now, found.pool) {
 			continue
 		}
 		if count == maxReported {
@@ -136,12 +145,12 @@
 func (origins *Origins) Report(now time.Duration) message.StreamOrigins {
 	report := origins.Builds(now)
 	origins.forgetOld(now)
-	if !origins.Untold(now) {
+	if !origins.tellsAll && !origins.Urgent(now) {
 		return report
 	}
 	end := min(origins.told+maxReported, len(origins.order))
 	for _, stream := range origins.order[origins.told:end] {
-		if found := origins.streams[stream]; origins.tells(now, found.pool) {
+		if found := origins.streams[stream]; origins.reports(now, found.pool) {
 			report.Add(found.pool, found.build, stream)
 		}
 	}
@@ -162,18 +171,23 @@
 	return report
 }
 
-// tells returns whether peers are told the streams of the pool: if they may be in doubt.
-func (origins *Origins) tells(now time.Duration, pool string) bool {
+// reports returns whether peers are told the streams of the pool.
+func (origins *Origins) reports(now time.Duration, pool string) bool {
+	return origins.tellsAll || origins.inDoubt(now, pool)
+}
+
+// inDoubt returns whether peers may be in doubt of which build began a stream of the pool.
+func (origins *Origins) inDoubt(now time.Duration, pool string) bool {
 	return len(origins.lastListed[pool]) > 1 || origins.observed(now) < Retention
 }
 
-// Untold returns whether there are streams to report.
-func (origins *Origins) Untold(now time.Duration) bool {
+// Urgent returns whether there are streams to report of which the build may be in doubt.
+func (origins *Origins) Urgent(now time.Duration) bool {
 	if origins.told == len(origins.order) {
 		return false
 	}
 	for pool := range origins.lastListed {
-		if origins.tells(now, pool) {
+		if origins.inDoubt(now, pool) {
 			return true
 		}
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -170,6 +170,8 @@
   's/return reads\.answeredFor > 0 \&\& reads\.answeredFor >= event/return true/' $dispatch TestStreamsAreTakenUpAtEntryOutOfStep
 mutant "Read the list anew: no read" internal/core/dispatch/stream_origins.go \
   's/if !needed \|\| now < due/if needed || now < due/' $dispatch TestStreamsAreTakenUpElsewhere
+mutant "Streams of one build are not told" internal/core/dispatch/dispatch.go \
+  's/origins\.TellAll\(.*/origins.TellAll(false)/' $dispatch TestStreamsAreTakenUpElsewhere
 mutant "Split: the pool of a stream is drawn at random" internal/core/dispatch/requests.go \
   's/split\.DrawFor\(request\.Stream\)/split.Draw(dispatcher.settings.Random)/' $dispatch TestStreamsAreTakenUpElsewhere
 mutant "Split: a pool that served the class before is forgotten" internal/core/classpools/classpools.go \
