Bound the bytes of the log's queue and the length of a line

Cause: a line quotes what could not be read, up to four times its 64 KB, and the queue of the log was bounded in lines only (8,192). Change: the queue holds 4 MiB at most, and a line 64 KiB. TestLongLinesAreBounded is new.

--- a/internal/node/logqueue/logqueue.go
+++ b/internal/node/logqueue/logqueue.go
@@ -3,6 +3,7 @@
 package logqueue
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 // next line.
 type Queue struct {
 	lines chan []byte
+	// bytes is the size of the queued lines.
+	bytes atomic.Int64
 	// dropped counts the dropped lines not yet reported in the log, total all of them.
 	dropped atomic.Int64
 	total   atomic.Int64
@@ -22,7 +25,14 @@
 	target  io.Writer
 }
 
-// New returns a queue of at most capacity lines that writes to the target.
+const (
+	// maxLineBytes bounds a line: it may quote what a faulty peer has sent. The rest is left out.
+	maxLineBytes = 64 << 10
+	// maxQueuedBytes bounds the queued lines together.
+	maxQueuedBytes = 4 << 20
+)
+
+// New returns a queue of at most capacity lines and 4 MiB that writes to the target.
 func New(target io.Writer, capacity int) *Queue {
 	queue := &Queue{lines: make(chan []byte, capacity), closing: make(chan struct{}), done: make(chan struct{}), target: target}
 	go queue.run()
@@ -31,16 +41,38 @@
 
 // Write implements io.Writer. It queues or drops one line and never returns an error.
 func (queue *Queue) Write(line []byte) (int, error) {
-	copied := append([]byte(nil), line...)
-	select {
-	case queue.lines <- copied:
-	default:
+	if !queue.push(shorten(line)) {
 		queue.dropped.Add(1)
 		queue.total.Add(1)
 	}
 	return len(line), nil
 }
 
+// push queues the line. It returns false if the queue is full.
+func (queue *Queue) push(line []byte) bool {
+	size := int64(len(line))
+	if queue.bytes.Add(size) > maxQueuedBytes {
+		queue.bytes.Add(-size)
+		return false
+	}
+	select {
+	case queue.lines <- line:
+		return true
+	default:
+		queue.bytes.Add(-size)
+		return false
+	}
+}
+
+// shorten returns a copy of the line, of at most maxLineBytes.
+func shorten(line []byte) []byte {
+	const mark = "... (cut)\n"
+	if len(line) <= maxLineBytes {
+		return bytes.Clone(line)
+	}
+	return append(bytes.Clone(line[:maxLineBytes-len(mark)]), mark...)
+}
+
 // Dropped returns the number of lines dropped since the start.
 func (queue *Queue) Dropped() int64 {
 	return queue.total.Load()
@@ -83,4 +115,5 @@
 		_, _ = fmt.Fprintf(queue.target, "event=log-lines-dropped count=%d\n", dropped)
 	}
 	_, _ = queue.target.Write(line)
+	queue.bytes.Add(-int64(len(line)))
 }
--- a/internal/node/logqueue/logqueue_test.go
+++ b/internal/node/logqueue/logqueue_test.go
@@ -45,3 +45,26 @@
 		t.Errorf("lines written by a queue of 10: got %d, want at most 12", lines)
 	}
 }
+
+// TestLongLinesAreBounded guards against lines that quote what faulty peers send, and take the
+// memory of the process while the log is not read.
+func TestLongLinesAreBounded(t *testing.T) {
+	const lineBytes, maxLine, maxQueued, lines = 256 << 10, 64 << 10, 4 << 20, 1000
+	blocked := &gate{open: make(chan struct{})}
+	queue := logqueue.New(blocked, lines)
+	for range lines {
+		_, _ = queue.Write(append(bytes.Repeat([]byte("x"), lineBytes), '\n'))
+	}
+	close(blocked.open)
+	queue.Close(time.Minute)
+	longest := 0
+	for line := range bytes.Lines(blocked.written.Bytes()) {
+		longest = max(longest, len(line))
+	}
+	if longest != maxLine {
+		t.Errorf("the longest line has %d bytes, want it cut to %d", longest, maxLine)
+	}
+	if written := blocked.written.Len(); written > maxQueued+maxLine+1000 {
+		t.Errorf("%d bytes were queued, want about %d", written, maxQueued)
+	}
+}
