Bound what sidecars and their entries keep of responses without end

Cause, with sidecars: a sidecar read as fast as its upstream sent, and kept what waited for its core and its link (128 MiB a link) and 1 MiB a run, with small parts in buffers of 32 KB; an entry buffered each response that is not streamed, up to 64 MiB, with no bound for all together. An entry without sidecars relays or ends all kinds of them. Change: a sidecar waits for the core and for its link before it reads on, and shares an eighth of the memory between the runs it stores. One above 64 MiB was taken for an empty success by its caller, and is a 502 now. TestTooLargeResponseIsNoSuccess failed before with status 200.

--- a/internal/command/verbs/operator.go
+++ b/internal/command/verbs/operator.go
@@ -279,6 +279,7 @@
 	"suspect":         "upstreams crashed repeatedly while running them",
 	"cancelled":       "callers disconnected before the end of the response",
 	"draining":        "entries were shutting down",
+	"too-large":       "the entry had no memory for more of the response: a smaller response, or more memory, helps",
 }
 
 func explainClass(row attainment.Row) string {
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -87,8 +87,10 @@
 	// ReattachTimeout is how long runs and their responses are kept for entries that
 	// reconnect.
 	ReattachTimeout time.Duration
-	// ReplayBytes bounds the replay buffer of a run.
-	ReplayBytes int
+	// ReplayBytes bounds the replay buffer of a run, ReplayTotalBytes those of all runs together, 0
+	// for no bound.
+	ReplayBytes      int
+	ReplayTotalBytes int
 }
 
 const (
--- a/internal/core/admission/runs.go
+++ b/internal/core/admission/runs.go
@@ -31,11 +31,12 @@
 // the replay buffer. The last chunk is kept whatever its size.
 func (row runRow) WithChunk(now time.Duration, chunk message.Chunk, maxBytes int) runRow {
 	row.replayBuffer = append(row.replayBuffer, chunk)
-	row.replayBytes += len(chunk.Data)
+	row.replayBytes += message.MemorySize(chunk)
 	row.nextChunk = chunk.Index + 1
 	row.updatedAt = now
 	for row.replayBytes > maxBytes && len(row.replayBuffer) > 1 {
-		row.replayBytes -= len(row.replayBuffer[0].Data)
+		row.replayBytes -= message.MemorySize(row.replayBuffer[0])
+		row.replayBuffer[0] = message.Chunk{}
 		row.replayBuffer = row.replayBuffer[1:]
 	}
 	row.firstChunk = row.replayBuffer[0].Index
@@ -95,7 +96,7 @@
 	}
 	controller.observeLatency(now, run)
 	chunk := message.Chunk{ID: received.ID, Index: run.nextChunk, Data: received.Data, Status: received.Status, Header: received.Header}
-	run = run.WithChunk(now, chunk, controller.settings.ReplayBytes)
+	run = run.WithChunk(now, chunk, controller.maxReplayBytes())
 	if chunk.Index == 0 {
 		// A resumed stream continues with the index after the skipped chunks.
 		run.nextChunk += run.reserve.ResumeFrom
@@ -104,6 +105,14 @@
 	controller.sendToAll(run, chunk)
 }
 
+// maxReplayBytes returns the bound of a run's replay buffer: its share of the bound for all.
+func (controller *Controller) maxReplayBytes() int {
+	if controller.settings.ReplayTotalBytes == 0 {
+		return controller.settings.ReplayBytes
+	}
+	return min(controller.settings.ReplayBytes, controller.settings.ReplayTotalBytes/max(controller.runs.Len(), 1))
+}
+
 // firstTokenDivisor divides the target for the first token. The quotient is the time
 // that the upstream itself may take. An upstream that needs longer queues requests
 // internally, where tiers and shedding don't apply.
--- a/internal/node/answer/answer.go
+++ b/internal/node/answer/answer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/wire/message"
@@ -21,11 +22,17 @@
 	overflowed bool
 	finish     *event.Finish
 	signal     chan struct{}
+	// held is the memory of the chunks that were pushed, until the reader frees it. Total is that
+	// of all queues that share it.
+	held  int64
+	total *atomic.Int64
+	cut   bool
 }
 
-// New returns a queue that holds at most capacity bytes of data that were not read yet.
-func New(capacity int) *Queue {
-	return &Queue{capacity: capacity, signal: make(chan struct{}, 1)}
+// New returns a queue that holds at most capacity bytes of data that were not read yet. The
+// memory that it takes is added to the total.
+func New(capacity int, total *atomic.Int64) *Queue {
+	return &Queue{capacity: capacity, total: total, signal: make(chan struct{}, 1)}
 }
 
 // Push appends a chunk. It returns false, without appending, if the queue overflows or has
@@ -39,14 +46,66 @@
 	}
 	queue.bytes += len(chunk.Data)
 	queue.chunks = append(queue.chunks, chunk)
+	queue.hold(int64(message.MemorySize(chunk)))
 	queue.wake()
 	return true
 }
 
+func (queue *Queue) hold(bytes int64) {
+	queue.held += bytes
+	queue.total.Add(bytes)
+}
+
+// Held returns the memory that the response takes.
+func (queue *Queue) Held() int64 {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.held
+}
+
+// FreeRead records that the reader no longer needs the chunks that it has read.
+func (queue *Queue) FreeRead() {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	unread := int64(0)
+	for _, chunk := range queue.chunks {
+		unread += int64(message.MemorySize(chunk))
+	}
+	queue.hold(unread - queue.held)
+}
+
+// Free records that nothing of the response is needed any more.
+func (queue *Queue) Free() {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	queue.drop()
+}
+
+// Cut ends the response as incomplete, since there is no memory for more of it.
+func (queue *Queue) Cut() {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	queue.cut = true
+	queue.overflowed = true
+	queue.finish = &event.Finish{Outcome: message.Incomplete, Reason: message.TooLarge}
+	queue.drop()
+	queue.wake()
+}
+
+// drop drops the chunks that were not read.
+func (queue *Queue) drop() {
+	queue.chunks = nil
+	queue.bytes = 0
+	queue.hold(-queue.held)
+}
+
 // Finish sets the final outcome, which ends the response.
 func (queue *Queue) Finish(finish event.Finish) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
+	if queue.cut {
+		return
+	}
 	queue.finish = &finish
 	queue.wake()
 }
--- a/internal/node/caller/caller_test.go
+++ b/internal/node/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,7 +104,7 @@
 
 // write writes the chunks and the final outcome through a Reply and returns the response.
 func write(stream bool, finish event.Finish, parts ...string) *http.Response {
-	queue := answer.New(1 << 20)
+	queue := answer.New(2*caller.MaxAnswerBytes, new(atomic.Int64))
 	if len(parts) > 0 {
 		queue.Push(message.Chunk{Status: 200, Header: []message.Header{{Name: "Content-Type", Value: "text/event-stream"}}})
 	}
@@ -123,6 +124,15 @@
 	return text.String()
 }
 
+// TestTooLargeResponseIsNoSuccess guards against a response that is too large to be buffered and
+// that its caller takes for a complete one without a body.
+func TestTooLargeResponseIsNoSuccess(t *testing.T) {
+	response := write(false, event.Finish{Outcome: message.Complete}, strings.Repeat("x", caller.MaxAnswerBytes), "x")
+	if response.StatusCode != http.StatusBadGateway || response.Header.Get(caller.HeaderOutcome) != "incomplete" {
+		t.Errorf("got status %d and outcome %q, want 502 and incomplete", response.StatusCode, response.Header.Get(caller.HeaderOutcome))
+	}
+}
+
 // TestTruncatedResponseIsMarked guards against a truncated response that looks complete:
 // a stream must end with an error event and no [DONE], any other must become a 502.
 func TestTruncatedResponseIsMarked(t *testing.T) {
--- a/internal/node/caller/reply.go
+++ b/internal/node/caller/reply.go
@@ -21,10 +21,12 @@
 // chunk; any other is buffered until it is complete, so that a truncated response never
 // looks complete.
 type Reply struct {
-	writer   http.ResponseWriter
-	stream   bool
-	head     message.Chunk
-	body     []byte
+	writer http.ResponseWriter
+	stream bool
+	head   message.Chunk
+	// parts are what is not written yet of the body, of size bytes together.
+	parts    [][]byte
+	size     int
 	started  bool
 	received time.Time
 	// firstToken is the time from received to the first token, previous the time of the
@@ -63,6 +65,8 @@
 	// long that may take: a caller that goes on reading is not cut off, however slow it is.
 	maxWriteBytes = 64 << 10
 	writeTimeout  = 10 * time.Second
+	// maxUsageBytes bounds a response that is searched for its number of tokens.
+	maxUsageBytes = 4 << 20
 	// errorType is the error type of errors that the caller did not cause.
 	errorType = "endivepost"
 )
@@ -74,7 +78,8 @@
 }
 
 // Write writes the response up to the request's final outcome, which it returns. The
-// error is the context's, ErrAnswerTooLarge, or that of writing to the caller.
+// error is the context's, ErrAnswerTooLarge, or that of writing to the caller. A response that
+// is too large ends as incomplete.
 func (reply *Reply) Write(ctx context.Context, queue *answer.Queue) (finish event.Finish, err error) {
 	for {
 		chunks, final, err := queue.Next(ctx)
@@ -83,7 +88,7 @@
 		}
 		for _, chunk := range chunks {
 			if err := reply.add(chunk); err != nil {
-				return event.Finish{}, err
+				return event.Finish{}, errors.Join(err, reply.close(event.Finish{Outcome: message.Incomplete, Reason: message.TooLarge}))
 			}
 		}
 		if final != nil {
@@ -92,6 +97,9 @@
 		if err := reply.flush(); err != nil {
 			return event.Finish{}, err
 		}
+		if reply.size == 0 {
+			queue.FreeRead()
+		}
 	}
 }
 
@@ -105,14 +113,15 @@
 func (reply *Reply) add(chunk message.Chunk) error {
 	if chunk.Index == 0 {
 		reply.head = chunk
-		reply.body = nil
+		reply.parts, reply.size = nil, 0
 		return nil
 	}
 	if !bytes.HasPrefix(chunk.Data, doneEvent) {
 		reply.countToken(time.Now())
 	}
-	reply.body = append(reply.body, chunk.Data...)
-	if len(reply.body) > MaxAnswerBytes {
+	reply.parts = append(reply.parts, chunk.Data)
+	reply.size += len(chunk.Data)
+	if reply.size > MaxAnswerBytes {
 		return ErrAnswerTooLarge
 	}
 	return nil
@@ -132,23 +141,34 @@
 
 // flush writes the buffered part of a streamed response.
 func (reply *Reply) flush() error {
-	if !reply.stream || len(reply.body) == 0 {
+	if !reply.stream || reply.size == 0 {
 		return nil
 	}
 	reply.start("")
-	if err := reply.write(reply.body); err != nil {
+	if err := reply.writeBody(); err != nil {
 		return err
 	}
-	reply.body = reply.body[:0]
 	return http.NewResponseController(reply.writer).Flush()
 }
 
-// write writes the data in parts of at most maxWriteBytes, each with its own deadline.
+// writeBody writes the buffered part of the body.
+func (reply *Reply) writeBody() error {
+	parts := reply.parts
+	reply.parts, reply.size = nil, 0
+	for _, part := range parts {
+		if err := reply.write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// write writes the data in pieces of at most maxWriteBytes, each with its own deadline.
 func (reply *Reply) write(data []byte) error {
 	controller := http.NewResponseController(reply.writer)
-	for part := range slices.Chunk(data, maxWriteBytes) {
+	for piece := range slices.Chunk(data, maxWriteBytes) {
 		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := reply.writer.Write(part); err != nil {
+		if _, err := reply.writer.Write(piece); err != nil {
 			return err
 		}
 	}
@@ -187,7 +207,7 @@
 	case complete:
 		reply.setReportedTokens()
 		reply.start(finish.Outcome.String())
-		return reply.write(reply.body)
+		return reply.writeBody()
 	case reply.started:
 		return reply.closeTruncated(finish)
 	}
@@ -205,8 +225,11 @@
 // usage in its body. Without one, as from a plain service, it stays the number of
 // chunks.
 func (reply *Reply) setReportedTokens() {
+	if reply.size > maxUsageBytes {
+		return
+	}
 	var decoded usage
-	if json.Unmarshal(reply.body, &decoded) == nil && decoded.Usage.CompletionTokens > 0 {
+	if json.Unmarshal(bytes.Join(reply.parts, nil), &decoded) == nil && decoded.Usage.CompletionTokens > 0 {
 		reply.tokens = decoded.Usage.CompletionTokens
 	}
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -19,6 +19,7 @@
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/router"
 	"endivepost/internal/node/answer"
+	"endivepost/internal/node/answerset"
 	"endivepost/internal/node/attainment"
 	"endivepost/internal/node/caller"
 	"endivepost/internal/node/guard"
@@ -33,7 +34,7 @@
 )
 
 // Entry connects callers, the router and the sidecars. Drained is closed once the router
-// has no work left in flight. The mutex guards links and responses.
+// has no work left in flight. The mutex guards links.
 type Entry struct {
 	settings   Settings
 	telemetry  *telemetry.Telemetry
@@ -53,7 +54,7 @@
 	drained    chan struct{}
 	mutex      sync.Mutex
 	links      map[string]numberedLink
-	responses  map[message.RequestID]*answer.Queue
+	responses  *answerset.Set
 }
 
 // Settings of an Entry. Listen and Admin are listen addresses for callers and for
@@ -107,6 +108,9 @@
 	redialDelay = 500 * time.Millisecond
 	// maxUnreadBytes bounds the part of a streamed response that its caller has not read yet.
 	maxUnreadBytes = 4 << 20
+	// responsesShare is the part of the VM's memory that all responses in progress may take: the
+	// buffer of one grows by copying it.
+	responsesShare = 8
 	// watchTimeout is how long the configuration service may hold a watch request open.
 	watchTimeout = 20 * time.Second
 	// pollInterval is the mean time between two reads of the document by an entry that
@@ -136,7 +140,7 @@
 		drained:    make(chan struct{}),
 		rejections: guard.NewLogLimit(),
 		links:      make(map[string]numberedLink),
-		responses:  make(map[message.RequestID]*answer.Queue),
+		responses:  answerset.New(settings.MemoryBytes / responsesShare),
 	}
 	entry.guard = guard.New(guard.Settings{MemoryBytes: settings.MemoryBytes, MaxDescriptors: settings.MaxDescriptors, Rejected: entry.countRejection})
 	entry.router = router.New(router.Settings{
@@ -238,7 +242,7 @@
 	case event.Deliver:
 		entry.deliver(output)
 	case event.Finish:
-		entry.finish(output)
+		entry.responses.Finish(output)
 	case event.Dial:
 		go entry.dial(output)
 	case event.CloseLink:
@@ -261,25 +265,12 @@
 	}
 }
 
-// deliver adds a chunk to the response. A caller who reads so slowly that the chunk does
-// not fit counts as disconnected. That input is posted from another goroutine: deliver runs
+// deliver adds a chunk to the response. Requests that are not served any further count as
+// abandoned by their callers. That input is posted from another goroutine: deliver runs
 // on the goroutine of the loop, where a blocked Post would never return.
 func (entry *Entry) deliver(delivered event.Deliver) {
-	entry.mutex.Lock()
-	queue, ok := entry.responses[delivered.ID]
-	entry.mutex.Unlock()
-	if ok && !queue.Push(delivered.Chunk) {
-		go entry.loop.Post(event.CallerDisconnected{ID: delivered.ID})
-	}
-}
-
-func (entry *Entry) finish(finished event.Finish) {
-	entry.mutex.Lock()
-	queue, ok := entry.responses[finished.ID]
-	delete(entry.responses, finished.ID)
-	entry.mutex.Unlock()
-	if ok {
-		queue.Finish(finished)
+	for _, ended := range entry.responses.Deliver(delivered) {
+		go entry.loop.Post(event.CallerDisconnected{ID: ended})
 	}
 }
 
@@ -330,20 +321,16 @@
 // newRequest returns a new request ID and the registered queue for its response.
 func (entry *Entry) newRequest(stream bool) (message.RequestID, *answer.Queue) {
 	id := message.NewRequestID(entry.settings.Boot, entry.sequence.Add(1))
-	queue := newQueue(stream)
-	entry.mutex.Lock()
-	defer entry.mutex.Unlock()
-	entry.responses[id] = queue
-	return id, queue
+	return id, entry.responses.Add(id, queueCapacity(stream))
 }
 
-// newQueue returns the queue for a response. One that is not streamed is buffered until it is
-// complete, so the speed of its caller does not bound it.
-func newQueue(stream bool) *answer.Queue {
+// queueCapacity returns how many bytes of a response may be unread. One that is not streamed is
+// buffered until it is complete, so the speed of its caller does not bound it.
+func queueCapacity(stream bool) int {
 	if stream {
-		return answer.New(maxUnreadBytes)
+		return maxUnreadBytes
 	}
-	return answer.New(caller.MaxAnswerBytes)
+	return caller.MaxAnswerBytes
 }
 
 func (entry *Entry) serverFailed(err error) {
--- a/internal/node/entry/queue_test.go
+++ b/internal/node/entry/queue_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"sync/atomic"
 	"testing"
 
+	"endivepost/internal/node/answer"
 	"endivepost/internal/node/caller"
 	"endivepost/internal/wire/message"
 )
@@ -12,7 +14,7 @@
 func TestBufferedAnswerOverflowsQueue(t *testing.T) {
 	const chunkBytes = 32 << 10
 	for stream, wanted := range map[bool]int{true: maxUnreadBytes, false: caller.MaxAnswerBytes} {
-		queue, held := newQueue(stream), 0
+		queue, held := answer.New(queueCapacity(stream), new(atomic.Int64)), 0
 		for queue.Push(message.Chunk{Data: make([]byte, chunkBytes)}) {
 			held += chunkBytes
 		}
--- a/internal/node/entry/serving.go
+++ b/internal/node/entry/serving.go
@@ -126,6 +126,7 @@
 	defer span.End()
 	resolved.Payload.TraceParent = telemetry.Inject(ctx)
 	id, queue := entry.newRequest(resolved.Payload.Stream)
+	defer entry.responses.Remove(id)
 	resolved.ID = id
 	span.SetAttributes(attribute.String("request", id.String()))
 	entry.inFlight.Add(1)
@@ -137,6 +138,9 @@
 		entry.loop.Post(event.CallerDisconnected{ID: id})
 		finish = event.Finish{ID: id, Outcome: message.Incomplete, Reason: message.Cancelled}
 	}
+	if errors.Is(err, caller.ErrAnswerTooLarge) {
+		finish.Reason = message.TooLarge
+	}
 	span.SetAttributes(attribute.String("outcome", finish.Outcome.String()))
 	entry.record(resolved, finish, reply.Measurements(time.Now()))
 }
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"endivepost/internal/core/admission"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/idempotency"
+	"endivepost/internal/node/backpressure"
 	"endivepost/internal/node/guard"
 	"endivepost/internal/node/httpserver"
 	"endivepost/internal/node/logevent"
@@ -41,6 +42,7 @@
 	controller *admission.Controller
 	loop       *loop.Loop
 	upstream   *upstream.Upstream
+	pressure   *backpressure.Pressure
 	drained    chan struct{}
 	mutex      sync.Mutex
 	links      map[string]numberedLink
@@ -100,7 +102,9 @@
 	reattachTimeout = 10 * time.Second
 	// replayBytes bounds the latest part of a response that is stored to be sent again to
 	// an entry that reattaches.
-	replayBytes   = 1 << 20
+	replayBytes = 1 << 20
+	// replayShare is the part of the VM's memory for what is stored of all responses.
+	replayShare   = 8
 	probeInterval = 500 * time.Millisecond
 	// flushTimeout bounds the writing of the queued messages of each link at exit.
 	flushTimeout = time.Second
@@ -115,6 +119,7 @@
 		self:       link.Identity{Name: settings.Name, Boot: settings.Boot},
 		drained:    make(chan struct{}),
 		rejections: guard.NewLogLimit(),
+		pressure:   backpressure.New(),
 		links:      make(map[string]numberedLink),
 		up:         true,
 	}
@@ -131,11 +136,12 @@
 		HeartbeatTimeout:  settings.HeartbeatTimeout,
 		ReattachTimeout:   reattachTimeout,
 		ReplayBytes:       replayBytes,
+		ReplayTotalBytes:  int(settings.MemoryBytes / replayShare),
 	})
-	sidecar.loop = loop.New(sidecar.controller, bootTime, sidecar.perform)
+	sidecar.loop = loop.New(sidecar.pressure.Core(sidecar.controller), bootTime, sidecar.perform)
 	sidecar.upstream = upstream.New(upstream.Settings{
 		Address: settings.Upstream, Uptime: sidecar.loop.Uptime, FirstByteTimeout: settings.FirstByteTimeout, StallTimeout: settings.StallTimeout,
-		Tracer: observe.Tracer(),
+		Tracer: observe.Tracer(), Admit: sidecar.pressure.Admit,
 	}, sidecar.loop.Post)
 	return sidecar
 }
@@ -279,6 +285,9 @@
 	switch output := output.(type) {
 	case event.Send:
 		if found, ok := sidecar.findLink(output.Peer, output.Link); ok {
+			if chunk, isChunk := output.Message.(message.Chunk); isChunk {
+				sidecar.pressure.Carry(chunk.ID, found)
+			}
 			found.Send(output.Message)
 		}
 	case event.CloseLink:
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -48,6 +48,9 @@
 	FirstByteTimeout time.Duration
 	StallTimeout     time.Duration
 	Tracer           trace.Tracer
+	// Admit waits until so many bytes of the run's response may be posted, nil if they may be at
+	// any time. Its error is that of the context.
+	Admit func(ctx context.Context, id message.RequestID, bytes int) error
 }
 
 const (
@@ -174,7 +177,7 @@
 		return upstream.failure(ctx, errNotResumed)
 	}
 	upstream.post(event.ResponseChunk{ID: start.ID, Status: response.StatusCode, Header: message.HeadersOf(response.Header, excludedHeaders)})
-	err = upstream.relay(start, response, watchdog)
+	err = upstream.relay(ctx, start, response, watchdog)
 	if err != nil {
 		return upstream.failure(ctx, err)
 	}
@@ -236,24 +239,39 @@
 	return ended
 }
 
-func (upstream *Upstream) relay(start event.StartRun, response *http.Response, watchdog *watchdog) error {
+func (upstream *Upstream) relay(ctx context.Context, start event.StartRun, response *http.Response, watchdog *watchdog) error {
 	if isEventStream(response) {
-		return upstream.relayEvents(start, response.Body, watchdog)
+		return upstream.relayEvents(ctx, start, response.Body, watchdog)
 	}
-	return upstream.relayBytes(start.ID, response.Body, watchdog)
+	return upstream.relayBytes(ctx, start.ID, response.Body, watchdog)
+}
+
+// postData posts a part of the response once it is admitted. The stall timeout does not run
+// meanwhile: the upstream has sent the data.
+func (upstream *Upstream) postData(ctx context.Context, id message.RequestID, data []byte, watchdog *watchdog) error {
+	if upstream.settings.Admit != nil {
+		watchdog.reset(0)
+		if err := upstream.settings.Admit(ctx, id, len(data)); err != nil {
+			return err
+		}
+	}
+	watchdog.reset(upstream.settings.StallTimeout)
+	upstream.post(event.ResponseChunk{ID: id, Data: data})
+	return nil
 }
 
 func isEventStream(response *http.Response) bool {
 	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 }
 
-func (upstream *Upstream) relayBytes(id message.RequestID, body io.Reader, watchdog *watchdog) error {
+func (upstream *Upstream) relayBytes(ctx context.Context, id message.RequestID, body io.Reader, watchdog *watchdog) error {
+	buffer := make([]byte, readBytes)
 	for {
-		buffer := make([]byte, readBytes)
 		count, err := body.Read(buffer)
 		if count > 0 {
-			watchdog.reset(upstream.settings.StallTimeout)
-			upstream.post(event.ResponseChunk{ID: id, Data: buffer[:count]})
+			if err := upstream.postData(ctx, id, bytes.Clone(buffer[:count]), watchdog); err != nil {
+				return err
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -267,7 +285,7 @@
 // relayEvents posts each server-sent event as one chunk, together with the comments before
 // it: a resumed stream skips as many events as there were chunks. A stream is complete only
 // with the [DONE] event.
-func (upstream *Upstream) relayEvents(start event.StartRun, body io.Reader, watchdog *watchdog) error {
+func (upstream *Upstream) relayEvents(ctx context.Context, start event.StartRun, body io.Reader, watchdog *watchdog) error {
 	reader := eventstream.New(body)
 	done := false
 	var comments []byte
@@ -278,12 +296,13 @@
 			comments = append(comments, data...)
 			continue
 		}
-		watchdog.reset(upstream.settings.StallTimeout)
 		if bytes.HasPrefix(data, []byte(doneEvent)) {
 			done = true
 			comments = nil
 		}
-		upstream.post(event.ResponseChunk{ID: start.ID, Data: append(comments, data...)})
+		if err := upstream.postData(ctx, start.ID, append(comments, data...), watchdog); err != nil {
+			return err
+		}
 		comments = nil
 	}
 	switch {
--- a/internal/soak/callers/machine_test.go
+++ b/internal/soak/callers/machine_test.go
@@ -85,7 +85,9 @@
 	// ordinary is the start of an ordinary request.
 	ordinary  string
 	processes []*exec.Cmd
-	exited    atomic.Int32
+	// log gets the output of the processes, nil for nobody.
+	log    *os.File
+	exited atomic.Int32
 }
 
 func freeAddress(t *testing.T) string {
@@ -107,6 +109,9 @@
 	command := exec.Command(program, arguments...)
 	command.Env = append(os.Environ(), "ENDIVEPOST_SECRET=a-shared-secret", "GOMAXPROCS=2",
 		fmt.Sprintf("ENDIVEPOST_MEMORY_MB=%d", memoryMB), fmt.Sprintf("ENDIVEPOST_MAX_FDS=%d", maxDescriptors))
+	if machine.log != nil {
+		command.Stdout = machine.log
+	}
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
@@ -150,31 +155,20 @@
 			"limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, key, maxHeaderBytes, maxBodyBytes),
 		"servers/i-1": fmt.Sprintf(`{"service":"held","address":%q,"zone":"a","version":"v1","slots":1000,"state":"ready","sequence":1,"born":1}`, newUpstream(t)),
 	}
-	store := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if request.URL.Path != "/api/kv-range" {
-			select {
-			case <-time.After(time.Second):
-			case <-request.Context().Done():
-			}
-			_, _ = io.WriteString(writer, `{"events":[],"store_revision":1}`)
-			return
-		}
-		found := []map[string]any{}
-		for name, value := range items {
-			if strings.HasPrefix(name, request.URL.Query().Get("prefix")) {
-				found = append(found, map[string]any{"key": name, "value": []byte(value), "revision": 1, "created": 1})
-			}
-		}
-		_ = json.NewEncoder(writer).Encode(map[string]any{"items": found, "has_more": false, "store_revision": 1})
-	}))
-	t.Cleanup(store.Close)
+	return startDirectWith(t, items, nil)
+}
+
+// startDirectWith starts an entry without sidecars, with the items in its store. It writes its log
+// to the file, if there is one.
+func startDirectWith(t *testing.T, items map[string]string, log *os.File) *machine {
+	t.Helper()
 	machine := &machine{
-		callers: freeAddress(t), ready: freeAddress(t), peers: freeAddress(t), metrics: freeAddress(t),
+		callers: freeAddress(t), ready: freeAddress(t), peers: freeAddress(t), metrics: freeAddress(t), log: log,
 		ordinary: "POST /services/now HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r\r\nApi-Key: " + key + "\r\n",
 	}
 	settings := filepath.Join(t.TempDir(), "settings.toml")
 	text := fmt.Sprintf("node_name = \"e\"\nzone = \"a\"\n[listen]\nfront = %q\nready = %q\ncontrol = %q\n[platform]\naddress = %q\n"+
-		"[limits]\nmemory_mb = %d\nmax_fds = %d\n", machine.callers, machine.ready, machine.peers, store.Listener.Addr(), memoryMB, maxDescriptors)
+		"[limits]\nmemory_mb = %d\nmax_fds = %d\n", machine.callers, machine.ready, machine.peers, newStore(t, items), memoryMB, maxDescriptors)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -186,21 +180,37 @@
 
 // startWithSidecar starts an entry and a sidecar.
 func startWithSidecar(t *testing.T) *machine {
+	t.Helper()
+	return startWithSidecars(t, service{name: "held", upstream: newUpstream(t)})
+}
+
+// service is a plain service with one upstream at the address.
+type service struct{ name, upstream string }
+
+// startWithSidecars starts an entry and a sidecar for each service. Ordinary requests are for the
+// first.
+func startWithSidecars(t *testing.T, services ...service) *machine {
 	t.Helper()
 	machine := &machine{
 		callers: freeAddress(t), peers: freeAddress(t),
-		ordinary: "POST /services/held/now HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n",
+		ordinary: fmt.Sprintf("POST /services/%s/now HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n", services[0].name, key),
 	}
 	admin := freeAddress(t)
 	published := document.Document{
-		Version: 1, Upstreams: []document.Upstream{{Name: "i-1", Service: "held"}},
-		Classes: []document.Class{{
-			Name: "held", Tier: 1, Service: "held", WholeAnswer: document.Duration(5 * time.Second), GiveUpAfter: document.Duration(20 * time.Second),
-		}},
-		Accounts: []document.Account{{Name: "a", KeySHA256: fmt.Sprintf("%x", sha256.Sum256([]byte(key))), DefaultClass: "held"}},
+		Version: 1, Accounts: []document.Account{{Name: "a", KeySHA256: fmt.Sprintf("%x", sha256.Sum256([]byte(key))), DefaultClass: services[0].name}},
+	}
+	members := []event.Member{{Name: "e", Address: admin, Role: "entry", Domain: "a"}}
+	address := machine.peers
+	for number, served := range services {
+		name := fmt.Sprintf("i-%d", number+1)
+		published.Upstreams = append(published.Upstreams, document.Upstream{Name: name, Service: served.name})
+		published.Classes = append(published.Classes, document.Class{
+			Name: served.name, Tier: 1, Service: served.name, WholeAnswer: document.Duration(5 * time.Second), GiveUpAfter: document.Duration(20 * time.Second),
+		})
+		members = append(members, event.Member{Name: name, Address: address, Role: "sidecar", Domain: "a"})
+		address = freeAddress(t)
 	}
-	members := []event.Member{{Name: "e", Address: admin, Role: "entry", Domain: "a"}, {Name: "i-1", Address: machine.peers, Role: "sidecar", Domain: "a"}}
-	service := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	platform := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/v1/vms" {
 			_ = json.NewEncoder(writer).Encode(members)
 			return
@@ -212,9 +222,12 @@
 		}
 		_ = json.NewEncoder(writer).Encode(published)
 	}))
-	t.Cleanup(service.Close)
-	machine.start(t, "entry", "--name", "e", "--listen", machine.callers, "--admin", admin, "--platform", service.URL, "--trace-share", "0")
-	machine.start(t, "sidecar", "--name", "i-1", "--listen", machine.peers, "--upstream", newUpstream(t), "--fixed-limit", "64", "--trace-share", "0")
+	t.Cleanup(platform.Close)
+	machine.start(t, "entry", "--name", "e", "--listen", machine.callers, "--admin", admin, "--platform", platform.URL, "--trace-share", "0")
+	for number, served := range services {
+		machine.start(t, "sidecar", "--name", members[number+1].Name, "--listen", members[number+1].Address, "--upstream", served.upstream,
+			"--fixed-limit", "64", "--trace-share", "0")
+	}
 	machine.awaitAnswer(t, machine.ordinary+"\r\n")
 	return machine
 }
@@ -239,19 +252,29 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
+	machine.checkMemory(t)
+	for index, process := range machine.processes {
+		t.Logf("%s: descriptors %d", process.Args[1], most[index])
+		if most[index] > maxDescriptors {
+			t.Errorf("%s: %d descriptors, want at most %d", process.Args[1], most[index], maxDescriptors)
+		}
+	}
+}
+
+// checkMemory checks that the processes live, answer an ordinary request and were never above their
+// memory.
+func (machine *machine) checkMemory(t *testing.T) {
+	t.Helper()
 	if count := machine.exited.Load(); count > 0 {
 		t.Fatalf("processes that ended: got %d, want 0", count)
 	}
 	machine.awaitAnswer(t, machine.ordinary+"\r\n")
-	for index, process := range machine.processes {
+	for _, process := range machine.processes {
 		peak := peakMemory(t, process.Process.Pid)
-		t.Logf("%s: peak memory %d MiB, descriptors %d", process.Args[1], peak>>20, most[index])
+		t.Logf("%s: peak memory %d MiB", process.Args[1], peak>>20)
 		if peak > memoryMB<<20 {
 			t.Errorf("%s: peak memory %d MiB, want at most %d", process.Args[1], peak>>20, memoryMB)
 		}
-		if most[index] > maxDescriptors {
-			t.Errorf("%s: %d descriptors, want at most %d", process.Args[1], most[index], maxDescriptors)
-		}
 	}
 }
 
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -262,6 +263,12 @@
 	}
 }
 
+// AwaitUnwritten waits until at most the given number of bytes are queued, the link is closed or
+// the context is done.
+func (link *Link) AwaitUnwritten(ctx context.Context, bytes int) {
+	link.outbox.await(ctx, bytes)
+}
+
 func (link *Link) isClosed() bool {
 	select {
 	case <-link.closed:
@@ -275,6 +282,7 @@
 func (link *Link) Close() {
 	link.once.Do(func() {
 		close(link.closed)
+		link.outbox.close()
 		_ = link.conn.Close()
 	})
 }
--- a/internal/wire/link/outbox.go
+++ b/internal/wire/link/outbox.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"sync"
 
 	"endivepost/internal/wire/message"
@@ -11,7 +12,7 @@
 // nearly all are idle. The capacity is in bytes: many small messages at once, as the rest
 // of many responses, are no sign of a peer that does not read. The counts unsent and
 // unsentBytes include the messages that were taken and are not written yet. The channel filled holds a value after a push until the reader
-// receives it.
+// receives it. Shrunk is signalled after each written message and when the outbox is closed.
 type outbox struct {
 	mutex       sync.Mutex
 	queued      []message.Message
@@ -19,11 +20,15 @@
 	unsentBytes int
 	capacity    int
 	filled      chan struct{}
+	shrunk      *sync.Cond
+	closed      bool
 }
 
 // newOutbox returns an outbox that holds messages of at most capacity bytes.
 func newOutbox(capacity int) *outbox {
-	return &outbox{capacity: capacity, filled: make(chan struct{}, 1)}
+	created := &outbox{capacity: capacity, filled: make(chan struct{}, 1)}
+	created.shrunk = sync.NewCond(&created.mutex)
+	return created
 }
 
 // push appends a message. It returns false if the outbox is full.
@@ -61,6 +66,31 @@
 	defer outbox.mutex.Unlock()
 	outbox.unsent--
 	outbox.unsentBytes -= message.MemorySize(body)
+	outbox.shrunk.Broadcast()
+}
+
+// close ends all waits.
+func (outbox *outbox) close() {
+	outbox.mutex.Lock()
+	defer outbox.mutex.Unlock()
+	outbox.closed = true
+	outbox.shrunk.Broadcast()
+}
+
+// await waits until at most the given number of bytes are unsent, the outbox is closed or the
+// context is done.
+func (outbox *outbox) await(ctx context.Context, bytes int) {
+	stop := context.AfterFunc(ctx, func() {
+		outbox.mutex.Lock()
+		defer outbox.mutex.Unlock()
+		outbox.shrunk.Broadcast()
+	})
+	defer stop()
+	outbox.mutex.Lock()
+	defer outbox.mutex.Unlock()
+	for outbox.unsentBytes > bytes && !outbox.closed && ctx.Err() == nil {
+		outbox.shrunk.Wait()
+	}
 }
 
 // pending returns the number of messages not yet written to the connection.
--- a/internal/wire/message/outcome.go
+++ b/internal/wire/message/outcome.go
@@ -83,12 +83,14 @@
 	NoBuild
 	// Evacuated means that all upstreams that serve the request are in evacuated domains.
 	Evacuated
+	// TooLarge means that the process has no memory for more of the response.
+	TooLarge
 )
 
 var reasonNames = [...]string{
 	"", "queue-full", "withdrawn", "lease-expired", "deadline-passed", "draining", "no-upstream", "upstream-down",
 	"key-conflict", "key-unprovable", "key-table-full", "wrong-home", "suspect", "not-ready", "cancelled", "lost", "gap",
-	"overload", "no-build", "evacuated",
+	"overload", "no-build", "evacuated", "too-large",
 }
 
 // String returns the kebab-case name used in responses and logs.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -170,6 +170,12 @@
   's/return reads\.answeredFor > 0 \&\& reads\.answeredFor >= event/return true/' $dispatch TestStreamsAreTakenUpAtEntryOutOfStep
 mutant "Read the list anew: no read" internal/core/dispatch/stream_origins.go \
   's/if !needed \|\| now < due/if needed || now < due/' $dispatch TestStreamsAreTakenUpElsewhere
+mutant "endless responses: the core is not waited for" internal/node/backpressure/backpressure.go \
+  's/pressure\.unhandled\+bytes > maxUnhandledBytes/false/' ./internal/node/backpressure TestReaderWaitsForCore
+mutant "endless responses: all may take any memory" internal/node/answerset/answerset.go \
+  's/for set\.max > 0/for false/' ./internal/node/answerset TestEndlessResponseIsCut
+mutant "endless responses: the log's lines have any length" internal/node/logqueue/logqueue.go \
+  's/len\(line\) <= maxLineBytes/true/' ./internal/node/logqueue TestLongLinesAreBounded
 mutant "Streams of one build are not told" internal/core/dispatch/dispatch.go \
   's/origins\.TellAll\(.*/origins.TellAll(false)/' $dispatch TestStreamsAreTakenUpElsewhere
 mutant "Split: the pool of a stream is drawn at random" internal/core/dispatch/requests.go \
