Tell other entries which upstreams were started again

Cause: the entry had no connection to those upstreams that could break and took their rows of before for true. The other entry, connected all the while, told which builds the pool has, not which upstream has which. Change: an entry that reads a written row of an upstream that was started again tells it with its next heartbeat; the others apply it by its revision. Rows of a whole list are not told: they may be those of an older copy.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"endivepost/internal/core/freshread"
 	"endivepost/internal/core/membership"
 	"endivepost/internal/core/mesh"
+	"endivepost/internal/core/recentrows"
 	"endivepost/internal/core/streamorigin"
 	"endivepost/internal/data/table"
 	"endivepost/internal/data/timerqueue"
@@ -58,6 +59,8 @@
 	origins         *streamorigin.Origins
 	listConfirmed   bool
 	listConfirmedAt time.Duration
+	// restarts are the upstreams that restarted lately under their names.
+	restarts recentrows.Rows
 	// classPools are the pools that served each class lately.
 	classPools *classpools.History
 	// listReads are the reads of the list that were asked for since a stream was taken up.
@@ -130,6 +133,8 @@
 	stepDue      time.Duration
 	watched      time.Duration
 	heartbeatDue time.Duration
+	// heartbeatSentAt is when the last heartbeat was sent.
+	heartbeatSentAt time.Duration
 	// toldBefore has the loads that the peers were told last. toldEntries are the entries,
 	// entriesDue is when they are told again; the same for builds.
 	toldBefore       message.EntryHeartbeat
--- a/internal/core/dispatch/inputs.go
+++ b/internal/core/dispatch/inputs.go
@@ -83,11 +83,15 @@
 	}
 }
 
-// updateUpstream applies a row of the upstream list.
+// updateUpstream applies a row that was written to the upstream list. The other entries are told of a
+// restart. They are not told what a whole list says: it may be that of an older copy.
 func (dispatcher *Dispatcher) updateUpstream(now time.Duration, source event.Source, upstream event.Upstream) {
 	if source == event.PublishedRow {
 		dispatcher.readColdItem(now, upstream)
 	}
+	if dispatcher.showsRestart(upstream) {
+		dispatcher.restarts = dispatcher.restarts.With(now, upstream)
+	}
 	dispatcher.forgetIfRestarted(upstream)
 	dispatcher.origins.Observe(now, upstream.Pool, upstream.Build)
 	dispatcher.reportUpstreamChange(now, upstream.Name, source, dispatcher.membership.Update(now, upstream))
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivepost/internal/core/event"
+	"endivepost/internal/core/streamorigin"
 	"endivepost/internal/wire/message"
 )
 
@@ -78,6 +79,7 @@
 	dispatcher.handlePeerCold(now, heartbeat.Cold)
 	dispatcher.mergeOrigins(now, heartbeat.Origins)
 	dispatcher.handlePeerSpeeds(now, heartbeat.Loads)
+	dispatcher.handlePeerRestarts(now, heartbeat.Restarted)
 	for _, departure := range heartbeat.Departures {
 		dispatcher.handlePeerDeparture(now, departure)
 	}
@@ -110,6 +112,7 @@
 	heartbeat.Origins = origins[0]
 	heartbeat.Evacuations = dispatcher.evacuations.Reports(now)
 	heartbeat.Cold = dispatcher.knownCold(now)
+	heartbeat.Restarted = dispatcher.restarts.Since(now - streamorigin.Retention)
 	dispatcher.emit(event.Send{Peer: opened.Peer, Link: opened.Link, Message: heartbeat})
 	for _, more := range origins[1:] {
 		dispatcher.emit(event.Send{Peer: opened.Peer, Link: opened.Link, Message: more})
@@ -134,7 +137,10 @@
 		Origins:       dispatcher.reportOrigins(now),
 		Evacuations:   dispatcher.evacuations.Reports(now),
 		Cold:          dispatcher.knownCold(now),
+		Restarted:     dispatcher.restarts.Since(dispatcher.heartbeatSentAt),
 	}
+	dispatcher.heartbeatSentAt = now
+	dispatcher.restarts = dispatcher.restarts.Without(now - streamorigin.Retention)
 	if dispatcher.mesh.KnownCount() > largeFleet {
 		dispatcher.heartbeatDue = now + largeFleetIntervalFactor*dispatcher.settings.HeartbeatInterval
 		dispatcher.toldBefore.Loads = nil
--- a/internal/core/dispatch/placements.go
+++ b/internal/core/dispatch/placements.go
@@ -127,9 +127,7 @@
 // row shows another start time: the process has restarted and its cache is empty.
 func (dispatcher *Dispatcher) forgetIfRestarted(upstreams ...event.Upstream) {
 	for _, upstream := range upstreams {
-		current, known := dispatcher.membership.Find(upstream.Name)
-		later := revision.New(upstream.Era, upstream.Revision).After(revision.New(current.Era, current.Revision))
-		if known && later && upstream.Started != current.Started {
+		if dispatcher.showsRestart(upstream) {
 			dispatcher.forgetCache(upstream.Name)
 			dispatcher.forgetBreak(upstream.Name)
 			dispatcher.forgetSpeed(upstream.Name)
@@ -137,6 +135,13 @@
 	}
 }
 
+// showsRestart returns whether the row is a later one of a process that was started again.
+func (dispatcher *Dispatcher) showsRestart(upstream event.Upstream) bool {
+	current, known := dispatcher.membership.Find(upstream.Name)
+	later := revision.New(upstream.Era, upstream.Revision).After(revision.New(current.Era, current.Revision))
+	return known && later && upstream.Started != current.Started
+}
+
 // queryCaches queries engines for their cached prefixes if no peer could send them.
 // This covers an outage that stops all entries at once while the engines keep
 // running with their caches. Among connected entries, one queries each engine, by
--- a/internal/core/dispatch/restarts.go
+++ b/internal/core/dispatch/restarts.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// handlePeerRestarts applies the rows of upstreams that restarted, as a peer has read them. Those of
+// upstreams that are not listed here are left to the list.
+func (dispatcher *Dispatcher) handlePeerRestarts(now time.Duration, restarted []message.Upstream) {
+	for _, upstream := range restarted {
+		if _, listed := dispatcher.membership.Find(upstream.Name); listed {
+			dispatcher.updateUpstream(now, event.PeerEntry, upstream)
+		}
+	}
+}
+
 // forgetBreak forgets that the upstream broke off connections: its row says which process runs
 // now.
 func (dispatcher *Dispatcher) forgetBreak(name string) {
--- a/internal/core/dispatch/same_name_test.go
+++ b/internal/core/dispatch/same_name_test.go
@@ -67,3 +67,56 @@
 		return
 	}
 }
+
+// restartAs ends the engine, and starts it again a second later under its name, as one of the build.
+func (fleet *streamFleet) restartAs(engine *fleetEngine, build string) {
+	fleet.crash(engine)
+	fleet.after(fleet.engineRestart, func() {
+		fleet.builds[engine.name] = build
+		row := fleet.states[engine.name].row
+		row.Started, row.Build = row.Started+1, build
+		fleet.write(row)
+	})
+}
+
+// TestEntryCutOffFromStoreHearsOfRestarts guards against streams that go on at an upstream which is back
+// under its name with another build, at an entry that is cut off from the store and had no
+// connection to that upstream. Another entry knows.
+func TestEntryCutOffFromStoreHearsOfRestarts(t *testing.T) {
+	t.Parallel()
+	const streams, cutAt, cutFor = 12, beforeRelease + 4*time.Second, 5 * time.Second
+	for _, entries := range []int{2, 40} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			t.Parallel()
+			forEachFleetSeed(t, 2*fleetSeeds, func(t *testing.T, seed uint64) {
+				fleet := newTakeUpFleet(t, takeUpSetting{name: "cut off from the store", entries: entries, struck: 1}, seed)
+				fleet.engineRestart = time.Second
+				cut, first, others := fleet.entries[0], fleet.engines[0], fleet.engines[1:3]
+				for _, engine := range fleet.engines[1:] {
+					fleet.remove(engine.name)
+				}
+				var all []*callerStream
+				for range streams {
+					stream := &callerStream{}
+					all = append(all, stream)
+					fleet.at(beforeRelease+fleet.upTo(time.Second), func() { fleet.beginAt(cut, stream) })
+				}
+				fleet.at(beforeRelease+2*time.Second, func() {
+					for _, engine := range others {
+						fleet.write(fleet.states[engine.name].row)
+					}
+				})
+				fleet.at(cutAt, func() { fleet.readers[cut.number].refusedUntil = cutAt + cutFor })
+				for i, engine := range append(others, first) {
+					fleet.at(cutAt+time.Duration(300+1200*i)*time.Millisecond, func() { fleet.restartAs(engine, "v2") })
+				}
+				fleet.runUntil(t, cutAt+cutFor+5*time.Second)
+				for _, stream := range all {
+					if !stream.begun {
+						t.Error("a stream did not begin before the cut")
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/wire/message/entries.go
+++ b/internal/wire/message/entries.go
@@ -25,6 +25,9 @@
 	// Partial is set if Loads has only the upstreams whose load has changed since the
 	// sender's heartbeat before, with no requests running where it has none any more.
 	Partial bool `cbor:"12,keyasint,omitempty"`
+	// Restarted are the published rows of upstreams that started again under their names lately.
+	// An entry that cannot read the list has them from here.
+	Restarted []Upstream `cbor:"13,keyasint,omitempty"`
 }
 
 // WithLoads returns the heartbeat with the sender's work in flight after this heartbeat,
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -186,6 +186,8 @@
   's/dispatcher\.exitAt-lastAnswers \{/dispatcher.exitAt {/' ./platform TestLateRequestsOfStopAreCut
 mutant "A name is a process: breaks are ignored" internal/core/dispatch/restarts.go \
   's/row\.brokeAt == 0 \|\| dispatcher/row.brokeAt >= 0 || dispatcher/' $dispatch TestStreamsGoOnAtNameWithOtherBuild
+mutant "A name is a process: peers are not told of restarts" internal/core/dispatch/inputs.go \
+  's/dispatcher\.restarts = dispatcher\.restarts\.With\(now, upstream\)//' $dispatch TestEntryCutOffFromStoreHearsOfRestarts
 mutant "A name is a process: the first list after an outage counts" internal/core/membership/membership.go \
   's/return !membership\.storeUnreachable \&\& \(.*/return true/' $dispatch TestStreamsGoOnAtNameWithOtherBuild
 mutant "evacuation: peers are not told" internal/core/dispatch/peers.go \
