Apply configurations of any size that the store accepts

Cause: the bound for class documents that operators write, 1 MiB, was applied to those that are translated from the platform's format too, where sums take the place of short keys. Change: a translated document may have 12 MiB, which a message to another entry carries.

--- a/internal/config/distribution/distribution.go
+++ b/internal/config/distribution/distribution.go
@@ -19,6 +19,7 @@
 // them. It pulls at most once per pullInterval, so that a hundred peers with a new
 // version cost one copy.
 type Distributor struct {
+	parse    func(raw []byte) (document.Document, error)
 	document document.Document
 	// raw is the document as JSON. After a patch it is nil until a peer needs it.
 	raw      []byte
@@ -46,9 +47,9 @@
 	maxPatches = 64
 )
 
-// New returns a distributor without a document.
-func New() *Distributor {
-	return &Distributor{}
+// New returns a distributor without a document. Parse parses and validates documents.
+func New(parse func(raw []byte) (document.Document, error)) *Distributor {
+	return &Distributor{parse: parse}
 }
 
 // Version returns the version of the active document, 0 before the first.
@@ -65,7 +66,7 @@
 // active. An equal or lower version is ignored. An invalid document is reported, and
 // the last accepted one stays active.
 func (distributor *Distributor) Offer(raw []byte) []event.Output {
-	parsed, err := document.Parse(raw)
+	parsed, err := distributor.parse(raw)
 	if err != nil {
 		return []event.Output{event.DocumentRejected{Err: err}}
 	}
--- a/internal/config/document/document_test.go
+++ b/internal/config/document/document_test.go
@@ -64,6 +64,9 @@
 	if _, err := document.Parse(make([]byte, document.MaxBytes+1)); err == nil || !strings.Contains(err.Error(), "service stores") {
 		t.Errorf("document of MaxBytes+1 bytes: got error %v, want one on its size", err)
 	}
+	if _, err := document.ParseTranslated(make([]byte, document.MaxTranslatedBytes+1)); err == nil || !strings.Contains(err.Error(), "translated") {
+		t.Errorf("document of MaxTranslatedBytes+1 bytes: got error %v, want one on its size", err)
+	}
 }
 
 // drawDocument draws a valid document of the given version.
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"endivepost/internal/config/distribution"
+	"endivepost/internal/config/document"
 	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/idempotency"
@@ -127,7 +128,7 @@
 		keys:             idempotency.New(settings.Keys),
 		suspects:         suspects.New(maxSuspects),
 		crashCauses:      crashcause.New(),
-		config:           distribution.New(),
+		config:           distribution.New(document.Parse),
 		upstreamUp:       true,
 		lastSuspectCrash: -crashWindow,
 	}
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"endivepost/internal/config/distribution"
+	"endivepost/internal/config/document"
 	"endivepost/internal/core/classpools"
 	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/evacuation"
@@ -203,7 +204,7 @@
 func New(settings Settings) *Dispatcher {
 	return &Dispatcher{
 		settings:    settings,
-		config:      distribution.New(),
+		config:      distribution.New(document.ParseTranslated),
 		membership:  membership.New(settings.ListExpiry),
 		evacuations: evacuation.New(),
 		mesh:        mesh.New(settings.Mesh),
--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"endivepost/internal/config/distribution"
+	"endivepost/internal/config/document"
 	"endivepost/internal/core/crashcause"
 	"endivepost/internal/core/event"
 	"endivepost/internal/core/suspects"
@@ -132,7 +133,7 @@
 		dialDue:     timerqueue.New[string](),
 		suspects:    suspects.New(maxSuspects),
 		crashCauses: crashcause.New(),
-		config:      distribution.New(),
+		config:      distribution.New(document.Parse),
 		retries:     retrybudget.New(retryRatio, retryCapacity),
 	}
 }
