Delete the oldest rows without a copy of all keys, and bound the cache model

Cause: for each attribute beyond 8,192 the finder of crash causes copied all keys to delete the oldest, 1,900 times a response, in the core's only goroutine. The model of a cache was bounded in tokens only and kept parts of one token or none. Change: a table deletes its oldest row directly; three other places did the same. A cache model keeps 4,096 parts. The tests of the four packages pass; lint clean.

--- a/internal/core/crashcause/finder.go
+++ b/internal/core/crashcause/finder.go
@@ -279,6 +279,6 @@
 // makeRoom deletes the oldest interruption if there are too many.
 func (finder *Finder) makeRoom() {
 	if finder.interruptions.Len() >= maxInterruptions {
-		finder.interruptions.Delete(finder.interruptions.Keys()[0])
+		finder.interruptions.DeleteOldest()
 	}
 }
--- a/internal/core/crashcause/finder_test.go
+++ b/internal/core/crashcause/finder_test.go
@@ -244,3 +244,21 @@
 		t.Errorf("got blamed %v, want %v", got, []uint64{crashingPart})
 	}
 }
+
+// TestManyPartsTakeLittleTime guards against prompts of very many parts that take all the time of
+// the process: 10 of them a second must leave half of it.
+func TestManyPartsTakeLittleTime(t *testing.T) {
+	const parts, perSecond, seconds = 1900, 10, 4
+	finder := crashcause.New()
+	started := time.Now()
+	for request := range uint64(perSecond * seconds) {
+		var attributes []uint64
+		for part := range uint64(parts) {
+			attributes = append(attributes, request<<32|part)
+		}
+		finder.Survived("engine-0", attributes, parts, time.Minute)
+	}
+	if took := time.Since(started); took > seconds*time.Second/2 {
+		t.Errorf("%d requests with %d new parts each took %s, want at most %s", perSecond*seconds, parts, took, seconds*time.Second/2)
+	}
+}
--- a/internal/core/crashcause/survivals.go
+++ b/internal/core/crashcause/survivals.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if !found && finder.survivals.Len() >= maxSurvivals {
-		finder.survivals.Delete(finder.survivals.Keys()[0])
+		finder.survivals.DeleteOldest()
 	}
 	if len(survivals) >= maxSurvivors {
 		if added.sentAt == 0 {
--- a/internal/core/crashcause/trials.go
+++ b/internal/core/crashcause/trials.go
@@ -111,7 +111,7 @@
 	}
 	slices.SortStableFunc(trials, func(left, right trial) int { return int(left.at - right.at) })
 	if !found && finder.trials.Len() >= maxTried {
-		finder.trials.Delete(finder.trials.Keys()[0])
+		finder.trials.DeleteOldest()
 	}
 	finder.trials.Put(report.Attribute, trials[max(len(trials)-maxTrials, 0):])
 	if share {
--- a/internal/core/suspects/suspects.go
+++ b/internal/core/suspects/suspects.go
@@ -104,7 +104,7 @@
 
 func (suspects *Table) put(fingerprint uint64, added row) {
 	if _, known := suspects.rows.Get(fingerprint); !known && suspects.rows.Len() >= suspects.capacity {
-		suspects.rows.Delete(suspects.rows.Keys()[0])
+		suspects.rows.DeleteOldest()
 	}
 	suspects.rows.Put(fingerprint, added)
 }
--- a/internal/data/table/table.go
+++ b/internal/data/table/table.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// DeleteOldest removes the row that was inserted first, if there is any. Its cost does not
+// depend on the number of rows, as that of Keys does.
+func (table *Table[K, V]) DeleteOldest() {
+	for index, entry := range table.order {
+		if table.isCurrent(entry) {
+			delete(table.rows, entry.key)
+			table.order = table.order[index+1:]
+			return
+		}
+	}
+	table.order = nil
+}
+
 // Len returns the number of rows.
 func (table *Table[K, V]) Len() int {
 	return len(table.rows)
--- a/internal/policy/prefixcache/prefixcache.go
+++ b/internal/policy/prefixcache/prefixcache.go
@@ -24,6 +24,10 @@
 	shared bool
 }
 
+// maxParts bounds the parts that are kept: prompts may have very many that are short, or of no
+// token at all.
+const maxParts = 4096
+
 // New returns an empty cache of the given capacity in tokens.
 func New(capacity int) *Cache {
 	return &Cache{capacity: capacity, recency: list.New(), parts: make(map[uint64]*list.Element)}
@@ -86,9 +90,9 @@
 	cache.recency.MoveToFront(element)
 }
 
-// evict removes the least recently used parts until the rest fits the capacity.
+// evict removes the least recently used parts until the rest fits the capacity and maxParts.
 func (cache *Cache) evict() {
-	for cache.cachedTokens > cache.capacity && cache.recency.Len() > 0 {
+	for cache.cachedTokens > cache.capacity && cache.recency.Len() > 0 || cache.recency.Len() > maxParts {
 		oldest, _ := cache.recency.Remove(cache.recency.Back()).(cachedPart)
 		delete(cache.parts, oldest.part.ID)
 		cache.cachedTokens -= oldest.part.Tokens
--- a/internal/policy/prefixcache/prefixcache_test.go
+++ b/internal/policy/prefixcache/prefixcache_test.go
@@ -31,6 +31,21 @@
 	}
 }
 
+// TestPartsAreBounded guards against memory that grows with the number of parts, which callers
+// may make very short, or of no token at all.
+func TestPartsAreBounded(t *testing.T) {
+	const bound, many = 4096, 100_000
+	for _, tokens := range []int{0, 1} {
+		cache := prefixcache.New(1 << 20)
+		for id := range uint64(many) {
+			cache.AddShared([]message.PromptPart{{ID: id, Tokens: tokens}})
+		}
+		if kept := len(cache.Shared(many)); kept > bound {
+			t.Errorf("parts of %d tokens: %d are kept, want at most %d", tokens, kept, bound)
+		}
+	}
+}
+
 // TestSharedParts checks that the last part of a prompt counts as shared only once
 // another prompt continues after it, and that the most recently used parts come
 // first.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -176,6 +176,8 @@
   's/for set\.max > 0/for false/' ./internal/node/answerset TestEndlessResponseIsCut
 mutant "endless responses: the log's lines have any length" internal/node/logqueue/logqueue.go \
   's/len\(line\) <= maxLineBytes/true/' ./internal/node/logqueue TestLongLinesAreBounded
+mutant "many parts: the cache model keeps all" internal/policy/prefixcache/prefixcache.go \
+  's/ \|\| cache\.recency\.Len\(\) > maxParts//' ./internal/policy/prefixcache TestPartsAreBounded
 mutant "Streams of one build are not told" internal/core/dispatch/dispatch.go \
   's/origins\.TellAll\(.*/origins.TellAll(false)/' $dispatch TestStreamsAreTakenUpElsewhere
 mutant "Split: the pool of a stream is drawn at random" internal/core/dispatch/requests.go \
