Back streams of a large fleet up at two other entries

Callers would see: in a fleet of more than 24 entries theirs is frozen and a second build joins; none of their streams goes on at the others. Cause: streams of a pool with one build are not told to all in a large fleet, since each would be told on over all links, and the frozen entry cannot tell them once it would be time. Change: each entry tells two others, drawn by its address, the streams that it begins. They tell all once a second build joins.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -60,6 +60,8 @@
 	origins         *streamorigin.Origins
 	listConfirmed   bool
 	listConfirmedAt time.Duration
+	// backups are the streams that a few other entries are to be told.
+	backups message.StreamOrigins
 	// restarts are the upstreams that restarted lately under their names.
 	restarts recentrows.Rows
 	// classPools are the pools that served each class lately.
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -150,6 +150,7 @@
 		dispatcher.toldBefore = heartbeat.WithLoads(dispatcher.toldBefore)
 	}
 	dispatcher.emit(dispatcher.mesh.Send(heartbeat)...)
+	dispatcher.sendBackups()
 }
 
 // entriesToTell returns the known entries if they have changed since they were told, and
--- a/internal/core/dispatch/stream_origins.go
+++ b/internal/core/dispatch/stream_origins.go
@@ -74,6 +74,7 @@
 	}
 	row.begun, row.buildKnown, row.build = true, true, row.upstreamBuild
 	dispatcher.origins.Record(now, row.request.Stream, row.pool, row.build)
+	dispatcher.backUpOrigin(row.request.Stream, row.pool, row.build)
 	dispatcher.scheduleOrigins(now)
 	return row
 }
--- a/internal/core/dispatch/taken_up_streams_test.go
+++ b/internal/core/dispatch/taken_up_streams_test.go
@@ -227,11 +227,11 @@
 	}
 }
 
-// loseStore takes the store away for all entries.
-func (fleet *takeUpFleet) loseStore(from, until time.Duration) {
+// loseStore takes the store away for all entries until long after the strike.
+func (fleet *takeUpFleet) loseStore(from time.Duration) {
 	fleet.at(from, func() {
 		for _, reader := range fleet.readers {
-			reader.refusedUntil = until
+			reader.refusedUntil = strikeAt + 10*time.Second
 		}
 	})
 }
@@ -342,12 +342,16 @@
 		}},
 	{name: "forty entries, a second build joins before the streams begin", entries: 40, struck: 8, strike: killed, gap: closedGap,
 		prepare: func(fleet *takeUpFleet) { fleet.join(joinAt) }},
+	{name: "forty entries, a second build joins after the freeze", entries: 40, struck: 8, strike: frozen, gap: silentGap,
+		prepare: func(fleet *takeUpFleet) { fleet.join(strikeAt + 100*time.Millisecond) }},
+	{name: "forty entries, the store goes away with the kill", entries: 40, struck: 8, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.loseStore(strikeAt - 100*time.Millisecond) }},
 	{name: "the store is away, one of two killed", entries: 2, struck: 1, strike: killed, gap: closedGap,
-		prepare: func(fleet *takeUpFleet) { fleet.loseStore(strikeAt-10*time.Second, strikeAt+10*time.Second) }},
+		prepare: func(fleet *takeUpFleet) { fleet.loseStore(strikeAt - 10*time.Second) }},
 	{name: "the store is away, one of three frozen", entries: 3, struck: 1, strike: frozen, gap: silentGap,
-		prepare: func(fleet *takeUpFleet) { fleet.loseStore(strikeAt-10*time.Second, strikeAt+10*time.Second) }},
+		prepare: func(fleet *takeUpFleet) { fleet.loseStore(strikeAt - 10*time.Second) }},
 	{name: "the store goes away with the kill", entries: 2, struck: 1, strike: killed, gap: closedGap,
-		prepare: func(fleet *takeUpFleet) { fleet.loseStore(strikeAt-100*time.Millisecond, strikeAt+10*time.Second) }},
+		prepare: func(fleet *takeUpFleet) { fleet.loseStore(strikeAt - 100*time.Millisecond) }},
 }
 
 // TestStreamsAreTakenUpElsewhere guards against streams that are refused although sound engines of
@@ -358,12 +362,27 @@
 	for _, setting := range takeUpSettings {
 		t.Run(setting.name, func(t *testing.T) {
 			t.Parallel()
-			forEachFleetSeed(t, 2*fleetSeeds, func(t *testing.T, seed uint64) {
-				fleet := newTakeUpFleet(t, setting, seed)
-				fleet.play()
-				fleet.check()
-				t.Logf("%d of %d streams go on, %d of %d begin", fleet.resumed, fleet.taken, fleet.freshBegun, fleet.fresh)
-			})
+			forEachFleetSeed(t, 2*fleetSeeds, func(t *testing.T, seed uint64) { playTakeUps(t, setting, seed) })
 		})
 	}
 }
+
+// TestStreamsOfLargeFleetWithoutStore guards against the same where the fleet is large, so that streams
+// are not told to all, and the list cannot be read.
+func TestStreamsOfLargeFleetWithoutStore(t *testing.T) {
+	t.Parallel()
+	setting := takeUpSetting{
+		name: "forty entries, the store is away, eight killed", entries: 40, struck: 8, strike: killed, gap: closedGap,
+		prepare: func(fleet *takeUpFleet) { fleet.loseStore(strikeAt - 10*time.Second) },
+	}
+	forEachFleetSeed(t, fleetSeeds, func(t *testing.T, seed uint64) { playTakeUps(t, setting, seed) })
+}
+
+// playTakeUps plays the setting and checks it.
+func playTakeUps(t *testing.T, setting takeUpSetting, seed uint64) {
+	t.Helper()
+	fleet := newTakeUpFleet(t, setting, seed)
+	fleet.play()
+	fleet.check()
+	t.Logf("%d of %d streams go on, %d of %d begin", fleet.resumed, fleet.taken, fleet.freshBegun, fleet.fresh)
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -178,6 +178,8 @@
   's/len\(line\) <= maxLineBytes/true/' ./internal/node/logqueue TestLongLinesAreBounded
 mutant "many parts: the cache model keeps all" internal/policy/prefixcache/prefixcache.go \
   's/ \|\| cache\.recency\.Len\(\) > maxParts//' ./internal/policy/prefixcache TestPartsAreBounded
+mutant "Streams of a large fleet are not backed up" internal/core/dispatch/stream_backups.go \
+  's/dispatcher\.mesh\.KnownCount\(\) > largeFleet/false/' $dispatch TestStreamsAreTakenUpElsewhere
 mutant "Streams of one build are not told" internal/core/dispatch/dispatch.go \
   's/origins\.TellAll\(.*/origins.TellAll(false)/' $dispatch TestStreamsAreTakenUpElsewhere
 mutant "Split: the pool of a stream is drawn at random" internal/core/dispatch/requests.go \
