--- a/internal/core/classpools/classpools.go
+++ b/internal/core/classpools/classpools.go
@@ -3,6 +3,7 @@
 package classpools
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -14,12 +15,12 @@
 // for the retention.
 type History struct {
 	retention time.Duration
-	classes   map[string]served
+	classes   map[string]servedRow
 }
 
-// served is by what shares a class is served, and the pools that served it by other shares
+// servedRow is by what shares a class is served, and the pools that served it by other shares
 // before, with the time until which they did.
-type served struct {
+type servedRow struct {
 	shares []document.Share
 	former map[string]time.Duration
 }
@@ -27,7 +28,7 @@
 // New returns a history without any class. The retention is the longest time from the begin of
 // a stream until it may be taken up.
 func New(retention time.Duration) *History {
-	return &History{retention: retention, classes: make(map[string]served)}
+	return &History{retention: retention, classes: make(map[string]servedRow)}
 }
 
 // Observe records the classes of a document that is now in force. What served a class before
@@ -52,24 +53,22 @@
 }
 
 // withShares returns the row of a class that is now served by the shares.
-func (row served) withShares(now time.Duration, shares []document.Share) served {
+func (row servedRow) withShares(now time.Duration, shares []document.Share) servedRow {
 	if slices.Equal(row.shares, shares) {
 		return row
 	}
 	former := make(map[string]time.Duration, len(row.former)+len(row.shares))
-	for pool, until := range row.former {
-		former[pool] = until
-	}
+	maps.Copy(former, row.former)
 	for _, share := range row.shares {
 		if share.Weight > 0 {
 			former[share.Pool] = now
 		}
 	}
-	return served{shares: shares, former: former}
+	return servedRow{shares: shares, former: former}
 }
 
 // without returns the row without the pools that served before the time only.
-func (row served) without(before time.Duration) served {
+func (row servedRow) without(before time.Duration) servedRow {
 	if len(row.former) == 0 {
 		return row
 	}
