Forget the links of runs that have ended

Cause: a response that is sent again after its run has ended was recorded as carried by its link, and nothing removed that record. Change: a link is recorded for runs in progress only. Result: found by reading; the tests of backpressure with the race detector and TestFastAnswers pass.

--- a/internal/node/backpressure/backpressure.go
+++ b/internal/node/backpressure/backpressure.go
@@ -20,7 +20,7 @@
 	// unhandled counts the bytes that were admitted and that the core has not handled.
 	unhandled int
 	handled   *sync.Cond
-	// carriers are the links that carried the latest chunk of each run.
+	// carriers are the links that carried the latest chunk of each run in progress, nil before.
 	carriers map[message.RequestID]*link.Link
 }
 
@@ -40,7 +40,7 @@
 
 // Admit waits until the run may hand the bytes over to the core. Its error is that of the context.
 func (pressure *Pressure) Admit(ctx context.Context, id message.RequestID, bytes int) error {
-	if carrier := pressure.carrier(id); carrier != nil {
+	if carrier := pressure.begin(id); carrier != nil {
 		carrier.AwaitUnwritten(ctx, maxUnwrittenBytes)
 	}
 	stop := context.AfterFunc(ctx, func() {
@@ -61,17 +61,22 @@
 	return nil
 }
 
-func (pressure *Pressure) carrier(id message.RequestID) *link.Link {
+// begin records that the run is in progress, and returns the link that carries it, if any.
+func (pressure *Pressure) begin(id message.RequestID) *link.Link {
 	pressure.mutex.Lock()
 	defer pressure.mutex.Unlock()
-	return pressure.carriers[id]
+	carrier := pressure.carriers[id]
+	pressure.carriers[id] = carrier
+	return carrier
 }
 
-// Carry records that the link carries the run.
+// Carry records that the link carries the run, unless the run has ended and is only sent again.
 func (pressure *Pressure) Carry(id message.RequestID, carrier *link.Link) {
 	pressure.mutex.Lock()
 	defer pressure.mutex.Unlock()
-	pressure.carriers[id] = carrier
+	if _, running := pressure.carriers[id]; running {
+		pressure.carriers[id] = carrier
+	}
 }
 
 // Core returns a core that behaves as the given one and frees what it has handled.
