Take an early response that is reset for complete no more

Callers saw: an upstream answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written.

Cause: a socket reports a reset once, to whichever call comes first. If the write of the request took it, the read of the response saw an orderly end, which is the only end that a response without a length or chunks has. The same acted in the sidecar, whose client was net/http.

Change: at the end of a body that only its connection ends, the reader waits until the request has been written. Unless all of it was, the end is an error (ErrRequestCutOff), for whoever reads the body. A sound response, also one that ends before the request does, still comes whole. Sidecars use the same client. The caller is told upload-cut-off, which attempt_failures counts and attempt-failed logs. Drain no longer reads a body that its connection ends.

--- a/internal/core/dispatch/attempts.go
+++ b/internal/core/dispatch/attempts.go
@@ -103,16 +103,25 @@
 		dispatcher.retryUpstreamError(now, row)
 	case event.Interrupted, event.Stopped:
 		row.mayHaveRun = true
-		dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.blamed(now, row), message.UpstreamDown)
+		dispatcher.retry(now, row, row.mayRepeat(now) && !dispatcher.blamed(now, row), interruptionReason(ended))
 	case event.Unusable:
 		row.mayHaveRun = true
-		dispatcher.retry(now, row, row.mayRepeat(now), message.UpstreamDown)
+		dispatcher.retry(now, row, row.mayRepeat(now), interruptionReason(ended))
 	case event.TimedOut:
 		row.mayHaveRun = true
 		dispatcher.abort(now, row, message.DeadlinePassed)
 	}
 }
 
+// interruptionReason returns the reason that the caller is told if a request without a complete
+// response is not sent again.
+func interruptionReason(ended event.AttemptEnded) message.Reason {
+	if ended.Reason == message.NoReason {
+		return message.UpstreamDown
+	}
+	return ended.Reason
+}
+
 // updateHealth updates the upstream's health from the result of an attempt.
 func (dispatcher *Dispatcher) updateHealth(now time.Duration, row requestRow, ended event.AttemptEnded) {
 	switch ended.Result {
--- a/internal/core/event/direct.go
+++ b/internal/core/event/direct.go
@@ -184,6 +184,8 @@
 	// NoBreak is set if the failure is no sign that the upstream's process has ended: opening a
 	// connection took too long, or the upstream sent something invalid.
 	NoBreak bool
+	// Reason is why there is no complete response, if Result is Interrupted or Unusable.
+	Reason message.Reason
 }
 
 // AttemptResult is how an attempt ended.
--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -89,21 +89,27 @@
 	inflight.sentAt = inflight.entry.loop.Uptime()
 	answer, err := inflight.entry.exchange.Do(ctx, request)
 	if err != nil {
-		ended.Result = failureResult(ctx, err)
-		ended.NoBreak = !isBreak(err)
 		ended.Delivered = inflight.started
-		inflight.logFailure(ctx, attempt, err)
-		return ended
+		return inflight.withFailure(ctx, attempt, ended, err)
 	}
 	defer inflight.entry.countAnswer(attempt, len(inflight.body), answer)()
 	ended.Status = answer.StatusCode
 	ended.Result, err = inflight.handleResponse(attempt, answer)
 	ended.Delivered = inflight.started
 	if err != nil {
-		ended.Result = failureResult(ctx, err)
-		ended.NoBreak = !isBreak(err)
-		inflight.logFailure(ctx, attempt, err)
+		return inflight.withFailure(ctx, attempt, ended, err)
+	}
+	return ended
+}
+
+// withFailure returns the end of the attempt with the result of the error, which it logs.
+func (inflight *inflight) withFailure(ctx context.Context, attempt event.Attempt, ended event.AttemptEnded, err error) event.AttemptEnded {
+	ended.Result = failureResult(ctx, err)
+	ended.NoBreak = !isBreak(err)
+	if ended.Result == event.Interrupted || ended.Result == event.Unusable {
+		ended.Reason = exchange.Reason(err)
 	}
+	inflight.logFailure(ctx, attempt, ended.Reason, err)
 	return ended
 }
 
--- a/internal/node/direct/observe.go
+++ b/internal/node/direct/observe.go
@@ -124,7 +124,8 @@
 // logUndelivered logs that a buffered response could not be written to the caller.
 func (inflight *inflight) logUndelivered(err error) {
 	inflight.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
-		"request": inflight.info.ID, "attempt": 0, "upstream": "", "parts": "", "events": 0, "fingerprint": "", "ended-by": "caller", "cause": err.Error(),
+		"request": inflight.info.ID, "attempt": 0, "upstream": "", "parts": "", "events": 0, "fingerprint": "", "ended-by": "caller",
+		"reason": "", "cause": err.Error(),
 	}).Info()
 }
 
@@ -133,12 +134,15 @@
 	entry.telemetry.Metrics.Tagged(map[string]string{"belief": string(name)}).Counter("beliefs").Inc(1)
 }
 
-// logFailure logs why an attempt ended without a complete response, and who ended it. The
+// logFailure counts and logs why an attempt ended without a complete response, and logs who ended it. The
 // newlines that errors.Join puts between errors are replaced, so that the log has one line.
-func (inflight *inflight) logFailure(ctx context.Context, attempt event.Attempt, err error) {
+func (inflight *inflight) logFailure(ctx context.Context, attempt event.Attempt, reason message.Reason, err error) {
+	if reason != message.NoReason {
+		inflight.entry.classScope(inflight.resolved.Class.Name).Tagged(map[string]string{"reason": reason.String()}).Counter("attempt_failures").Inc(1)
+	}
 	inflight.entry.log(logevent.AttemptFailed).WithFields(logrus.Fields{
 		"request": inflight.info.ID, "attempt": attempt.Number, "upstream": attempt.Upstream, "parts": formatParts(inflight.resolved.Prompt.Parts),
-		"events": inflight.events, "fingerprint": fmt.Sprintf("%016x", inflight.resolved.Fingerprint), "ended-by": endedBy(ctx),
+		"events": inflight.events, "fingerprint": fmt.Sprintf("%016x", inflight.resolved.Fingerprint), "ended-by": endedBy(ctx), "reason": reason.String(),
 		"cause": strings.ReplaceAll(err.Error(), "\n", "; "),
 	}).Info()
 }
--- a/internal/node/exchange/answer.go
+++ b/internal/node/exchange/answer.go
@@ -25,24 +25,13 @@
 	drainTimeout  = 50 * time.Millisecond
 )
 
-// lostBody is the body of a response that reports the error of a read.
-type lostBody struct {
-	io.ReadCloser
-	lost func(err error)
-}
-
-// Read implements io.Reader.
-func (body lostBody) Read(data []byte) (int, error) {
-	count, err := body.ReadCloser.Read(data)
-	if err != nil {
-		body.lost(err)
-	}
-	return count, err
-}
-
 // Drain discards the rest of the body, so that the connection can be reused. It returns
-// whether it reached the end of the body; it gives up after 64 KiB or 50 ms.
+// whether it reached the end of the body; it gives up after 64 KiB or 50 ms, and at once if
+// the body ends with its connection.
 func (answer *Answer) Drain() bool {
+	if !answer.Framed() {
+		return false
+	}
 	conn := answer.connection.conn
 	if err := conn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
 		return false
@@ -68,7 +57,7 @@
 		conn := answer.connection
 		alive := answer.stop()
 		idleFor, reusable := keepAlive(answer.Response, conn.idleTimeout)
-		if !alive || !complete || !reusable || !answer.Framed() || conn.reader.Buffered() > 0 || !conn.wroteAll() {
+		if !alive || !complete || !reusable || !answer.Framed() || conn.reader.Buffered() > 0 || !conn.written.isComplete() {
 			conn.close()
 			return
 		}
--- /dev/null
+++ b/internal/node/exchange/answer_body.go
@@ -0,0 +1,44 @@
+package exchange
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+)
+
+// answerBody is the body of an answer. It tells its end from that of a connection which broke.
+type answerBody struct {
+	io.ReadCloser
+	answer *Answer
+}
+
+// Read implements io.Reader. The error is io.EOF only at the end of a complete body.
+func (body answerBody) Read(data []byte) (int, error) {
+	count, err := body.ReadCloser.Read(data)
+	if err == nil || count > 0 && errors.Is(err, io.EOF) {
+		return count, nil
+	}
+	err = body.answer.checkWritten(err)
+	body.answer.client.dropIfReset(body.answer.address, err)
+	return count, err
+}
+
+// checkWritten returns the error of a read, or ErrRequestCutOff if the connection broke while
+// the request was being written. A socket reports a reset once. If the write got it, the read
+// sees an orderly end, so without a length or chunks the response is complete only if the
+// request was written completely.
+func (answer *Answer) checkWritten(err error) error {
+	ended := errors.Is(err, io.EOF)
+	if ended && answer.Framed() || !ended && !errors.Is(err, syscall.ECONNRESET) {
+		return err
+	}
+	result := answer.connection.written.await()
+	if result.err == nil {
+		return err
+	}
+	if ended {
+		err = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("%w: %w: %w", ErrRequestCutOff, err, result.err)
+}
--- a/internal/node/exchange/connection.go
+++ b/internal/node/exchange/connection.go
@@ -23,8 +23,8 @@
 	idleTimeout time.Duration
 	// usableUntil is when the idle connection becomes too old to be reused.
 	usableUntil time.Time
-	// written receives the result of writing the current request.
-	written chan writeResult
+	// written is the writing of the current request.
+	written *requestWrite
 	closing sync.Once
 	closed  func()
 }
@@ -102,43 +102,25 @@
 	if err != nil {
 		stop()
 		connection.close()
-		return nil, (<-connection.written).failure(err, reused)
+		return nil, connection.written.await().failure(err, reused)
 	}
 	return &Answer{Response: response, connection: connection, stop: stop}, nil
 }
 
-// writeResult is the number of bytes of a request that were written, and the error.
-type writeResult struct {
-	count int
-	err   error
-}
-
-// failure returns the error of a request that got no response: ErrNoAnswer if any of
-// it was written, else errStale on a reused connection and ErrNotSent on a new one.
-func (result writeResult) failure(cause error, reused bool) error {
-	switch {
-	case result.err == nil || result.count > 0:
-		return fmt.Errorf("%w: %w", ErrNoAnswer, cause)
-	case reused:
-		return errStale
-	}
-	return fmt.Errorf("%w: %w", ErrNotSent, result.err)
-}
-
 // write writes the request: long ones in the background, so that the response can be
 // read meanwhile. The segments of the body are not copied.
 func (connection *connection) write(head []byte, body [][]byte, reused bool) error {
-	connection.written = make(chan writeResult, 1)
+	connection.written = newRequestWrite()
 	size := len(head)
 	for _, segment := range body {
 		size += len(segment)
 	}
 	if size > inlineBytes {
-		go func(written chan<- writeResult) {
+		go func(written *requestWrite) {
 			// WriteTo consumes the slice, and a retry needs the body again.
 			buffers := append(net.Buffers{head}, body...)
 			count, err := buffers.WriteTo(connection.conn)
-			written <- writeResult{count: int(count), err: err}
+			written.end(writeResult{count: int(count), err: err})
 		}(connection.written)
 		return nil
 	}
@@ -147,19 +129,9 @@
 	}
 	count, err := connection.conn.Write(head)
 	result := writeResult{count: count, err: err}
-	connection.written <- result
+	connection.written.end(result)
 	if err != nil {
 		return result.failure(err, reused)
 	}
 	return nil
 }
-
-// wroteAll reports whether the request was written completely.
-func (connection *connection) wroteAll() bool {
-	select {
-	case result := <-connection.written:
-		return result.err == nil
-	default:
-		return false
-	}
-}
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -95,6 +95,9 @@
 	// ErrOtherAnswer is the cause of an ErrNoAnswer if the upstream did respond, but to
 	// another request as far as can be told.
 	ErrOtherAnswer = errors.New("no response is identified as that to the request")
+	// ErrRequestCutOff means that the connection broke before the request was written
+	// completely. A response without a length or chunks may then lack its end.
+	ErrRequestCutOff = errors.New("the connection broke while the request was being written")
 )
 
 // A connection breaks if keepAliveCount probes in a row are not acknowledged: the first
@@ -118,7 +121,8 @@
 }
 
 // Do sends the request and returns the response, with its body still to be read. The
-// error wraps ErrNotConnected, ErrNotSent or ErrNoAnswer. When the context is done the
+// error wraps ErrNotConnected, ErrNotSent or ErrNoAnswer, that of reading the body may wrap
+// ErrRequestCutOff. When the context is done the
 // connection is closed, also while the body is read.
 func (client *Client) Do(ctx context.Context, request Request) (answer *Answer, err error) {
 	defer func() {
@@ -135,7 +139,7 @@
 		if err == nil {
 			answer.client = client
 			answer.address = request.Address
-			answer.Body = lostBody{ReadCloser: answer.Body, lost: func(err error) { client.dropIfReset(request.Address, err) }}
+			answer.Body = answerBody{ReadCloser: answer.Body, answer: answer}
 			return answer, nil
 		}
 		client.dropIfReset(request.Address, err)
--- a/internal/node/logevent/logevent.go
+++ b/internal/node/logevent/logevent.go
@@ -159,8 +159,9 @@
 	{FieldIgnored, "a header field used for the choice of an upstream is invalid; the request continues without it", "request, detail"},
 	{
 		AttemptFailed, "an attempt ended without a complete response (attempt 0: it did not reach the caller); parts are the IDs of the prompt's parts, " +
-			"events the events that the caller has, ended-by is who ended it: upstream, or caller, deadline or dispatcher by closing the connection",
-		"request, attempt, upstream, parts, events, fingerprint, ended-by, cause",
+			"events the events that the caller has, ended-by is who ended it: upstream, or caller, deadline or dispatcher by closing the connection, " +
+			"reason as in endivepost_attempt_failures; at a sidecar with request, reason and cause only",
+		"request, attempt, upstream, parts, events, fingerprint, ended-by, reason, cause",
 	},
 	{
 		AttemptEnded, "an attempt ended, unless it was the first and completed; the fields from running on are the load on which the upstream was chosen",
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -141,7 +141,7 @@
 	sidecar.loop = loop.New(sidecar.pressure.Core(sidecar.controller), bootTime, sidecar.perform)
 	sidecar.upstream = upstream.New(upstream.Settings{
 		Address: settings.Upstream, Uptime: sidecar.loop.Uptime, FirstByteTimeout: settings.FirstByteTimeout, StallTimeout: settings.StallTimeout,
-		Tracer: observe.Tracer(), Admit: sidecar.pressure.Admit,
+		Tracer: observe.Tracer(), Admit: sidecar.pressure.Admit, Failed: sidecar.countFailure,
 	}, sidecar.loop.Post)
 	return sidecar
 }
@@ -357,6 +357,12 @@
 	sidecar.loop.Post(event.UpstreamChecked{Up: up})
 }
 
+// countFailure counts and logs why a run has no complete response.
+func (sidecar *Sidecar) countFailure(id message.RequestID, reason message.Reason, err error) {
+	sidecar.telemetry.Metrics.Tagged(map[string]string{"reason": reason.String()}).Counter("attempt_failures").Inc(1)
+	sidecar.log("attempt-failed").WithFields(logrus.Fields{"request": id.String(), "reason": reason.String(), "cause": err.Error()}).Info()
+}
+
 func (sidecar *Sidecar) log(name string) *logrus.Entry {
 	return sidecar.telemetry.Log.WithFields(logrus.Fields{"event": name, "process": sidecar.settings.Name})
 }
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -19,6 +19,7 @@
 
 	"endivepost/internal/core/event"
 	"endivepost/internal/node/eventstream"
+	"endivepost/internal/node/exchange"
 	"endivepost/internal/node/retryafter"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/wire/message"
@@ -26,11 +27,10 @@
 
 // Upstream runs requests over HTTP, each in its own goroutine, and posts response
 // chunks and the end of each run. Each request uses a connection of its own: on a reused
-// one a second copy of an earlier response would be taken for the next response, and
-// net/http would retry a request that carries an Idempotency-Key or has no body.
+// one a second copy of an earlier response would be taken for the next response.
 type Upstream struct {
 	settings Settings
-	client   *http.Client
+	client   *exchange.Client
 	post     func(event.Input)
 	mutex    sync.Mutex
 	cancels  map[message.RequestID]context.CancelFunc
@@ -51,12 +51,13 @@
 	// Admit waits until so many bytes of the run's response may be posted, nil if they may be at
 	// any time. Its error is that of the context.
 	Admit func(ctx context.Context, id message.RequestID, bytes int) error
+	// Failed is told why a run has no complete response, nil if nothing is.
+	Failed func(id message.RequestID, reason message.Reason, err error)
 }
 
 const (
 	readBytes      = 32 << 10
 	connectTimeout = 2 * time.Second
-	maxHeaderBytes = 64 << 10
 	doneEvent      = "data: [DONE]"
 	// errorEvent is the type of an event that reports an error.
 	errorEvent = "error"
@@ -76,30 +77,22 @@
 	errTruncated = errors.New("stream ended without the [DONE] event")
 	// errNotResumed means that the response does not go on with the stream that broke off.
 	errNotResumed = errors.New("upstream did not resume the stream")
+	// errLeaseExpired means that the request was to be sent before.
+	errLeaseExpired = errors.New("the lease of the request has expired")
 )
 
 // New returns an Upstream that calls post, from several goroutines, with ResponseChunk,
 // RunEnded, UpstreamChecked, LeavingAnnounced and BackoffRequested.
 func New(settings Settings, post func(event.Input)) *Upstream {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	transport := &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}
 	return &Upstream{
 		settings: settings,
-		client:   &http.Client{Transport: transport, CheckRedirect: passOnRedirection},
+		client:   exchange.New(exchange.Settings{DialTimeout: connectTimeout}),
 		post:     post,
 		cancels:  make(map[message.RequestID]context.CancelFunc),
 		stopped:  make(map[message.RequestID]bool),
 	}
 }
 
-// passOnRedirection makes the client return a redirection as the response: it is for the
-// caller to follow.
-func passOnRedirection(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // Start runs a request in the background. The run ends with a RunEnded.
 func (upstream *Upstream) Start(start event.StartRun) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -155,33 +148,27 @@
 	upstream.post(ended)
 }
 
-// send sends the request and relays the response. It reads the clock right before
-// sending: a process that was paused since the grant must not run a request that its
-// entry has timed out meanwhile.
+// send sends the request and relays the response.
 func (upstream *Upstream) send(ctx context.Context, start event.StartRun) event.RunEnded {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := newWatchdog(upstream.settings.FirstByteTimeout, func() { cancel(errStalled) })
 	defer watchdog.reset(0)
-	request, err := upstream.request(ctx, start)
-	if err != nil || upstream.settings.Uptime() > start.NotAfter {
-		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.LeaseExpired}
-	}
-	response, err := upstream.client.Do(request)
+	answer, err := upstream.client.Do(ctx, upstream.request(ctx, start))
 	if err != nil {
-		return upstream.failure(ctx, err)
+		return upstream.failure(ctx, start.ID, err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	upstream.reportRequests(response)
-	if start.ResumeFrom > 0 && (response.StatusCode != http.StatusOK || !isEventStream(response)) {
-		return upstream.failure(ctx, errNotResumed)
+	defer answer.Close(false)
+	upstream.reportRequests(answer.Response)
+	if start.ResumeFrom > 0 && (answer.StatusCode != http.StatusOK || !isEventStream(answer.Response)) {
+		return upstream.failure(ctx, start.ID, errNotResumed)
 	}
-	upstream.post(event.ResponseChunk{ID: start.ID, Status: response.StatusCode, Header: message.HeadersOf(response.Header, excludedHeaders)})
-	err = upstream.relay(ctx, start, response, watchdog)
+	upstream.post(event.ResponseChunk{ID: start.ID, Status: answer.StatusCode, Header: message.HeadersOf(answer.Header, excludedHeaders)})
+	err = upstream.relay(ctx, start, answer.Response, watchdog)
 	if err != nil {
-		return upstream.failure(ctx, err)
+		return upstream.failure(ctx, start.ID, err)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
+	if answer.StatusCode >= http.StatusBadRequest {
 		return event.RunEnded{Outcome: message.Failed}
 	}
 	return event.RunEnded{Outcome: message.Complete}
@@ -198,44 +185,71 @@
 	}
 }
 
-func (upstream *Upstream) request(ctx context.Context, start event.StartRun) (*http.Request, error) {
-	payload := start.Payload
-	url := "http://" + upstream.settings.Address + payload.Path
-	body := io.NopCloser(bytes.NewReader(payload.Body))
-	request, err := http.NewRequestWithContext(ctx, payload.Method, url, body)
-	if err != nil {
-		return nil, err
+// request returns the request to the upstream. Each response belongs to it: its connection is
+// new.
+func (upstream *Upstream) request(ctx context.Context, start event.StartRun) exchange.Request {
+	return exchange.Request{
+		Address: upstream.settings.Address,
+		Method:  start.Payload.Method,
+		Target:  start.Payload.Path,
+		Host:    upstream.settings.Address,
+		Body:    [][]byte{start.Payload.Body},
+		Fresh:   true,
+		Header:  func() (http.Header, error) { return upstream.header(ctx, start) },
+		Match:   func(*http.Response) exchange.Match { return exchange.Matched },
+	}
+}
+
+// header returns the header of the request. It reads the clock right before sending: a process
+// that was paused since the grant must not run a request that its entry has timed out
+// meanwhile.
+func (upstream *Upstream) header(ctx context.Context, start event.StartRun) (http.Header, error) {
+	if upstream.settings.Uptime() > start.NotAfter {
+		return nil, errLeaseExpired
 	}
-	request.ContentLength = int64(len(payload.Body))
-	if len(payload.Body) == 0 {
-		request.Body = http.NoBody
+	header := make(http.Header)
+	for _, field := range start.Payload.Header {
+		header.Add(field.Name, field.Value)
 	}
-	for _, field := range payload.Header {
-		request.Header.Add(field.Name, field.Value)
+	for _, name := range framingHeaders {
+		header.Del(name)
 	}
-	request.Header.Set(HeaderPriority, strconv.Itoa(start.Tier))
+	header.Set("Connection", "close")
+	header.Set(HeaderPriority, strconv.Itoa(start.Tier))
 	if start.ResumeFrom > 0 {
-		request.Header.Set(HeaderResumeOffset, strconv.Itoa(start.ResumeFrom))
+		header.Set(HeaderResumeOffset, strconv.Itoa(start.ResumeFrom))
 	}
 	if parent := telemetry.Inject(ctx); parent != "" {
-		request.Header.Set("Traceparent", parent)
+		header.Set("Traceparent", parent)
 	}
-	return request, nil
+	return header, nil
 }
 
-// failure maps an error to the end of a run. If the connection could not be opened,
-// nothing was sent. A stall or a cancelled run, for which the context has a cause, is not
-// a crash, nor is a response that does not resume the stream. Any other error counts as a crash of the upstream.
-func (upstream *Upstream) failure(ctx context.Context, err error) event.RunEnded {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+// framingHeaders are the fields that say where a request goes and where it ends. They are
+// derived from the request itself.
+var framingHeaders = []string{"Host", "Content-Length", "Transfer-Encoding", "Trailer"}
+
+// failure maps an error to the end of a run. Nothing was sent if the lease had expired or the
+// connection could not be opened, or broke before the first byte. A stall or a cancelled run, for which the context has a
+// cause, is not a crash, nor is a response that does not resume the stream. Any other error
+// counts as a crash of the upstream.
+func (upstream *Upstream) failure(ctx context.Context, id message.RequestID, err error) event.RunEnded {
+	switch {
+	case errors.Is(err, errLeaseExpired):
+		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.LeaseExpired}
+	case errors.Is(err, exchange.ErrNotConnected) && context.Cause(ctx) == nil:
 		upstream.post(event.UpstreamChecked{Up: false})
 		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.UpstreamDown}
+	case errors.Is(err, exchange.ErrNotConnected), errors.Is(err, exchange.ErrNotSent):
+		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.UpstreamDown}
 	}
-	ended := event.RunEnded{Outcome: message.Incomplete, Reason: message.UpstreamDown, Crashed: true}
+	ended := event.RunEnded{Outcome: message.Incomplete, Reason: exchange.Reason(err), Crashed: true}
 	if context.Cause(ctx) != nil || errors.Is(err, errNotResumed) {
 		ended.Crashed = false
 	}
+	if upstream.settings.Failed != nil {
+		upstream.settings.Failed(id, ended.Reason, err)
+	}
 	return ended
 }
 
--- a/internal/wire/message/outcome.go
+++ b/internal/wire/message/outcome.go
@@ -85,12 +85,15 @@
 	Evacuated
 	// TooLarge means that the process has no memory for more of the response.
 	TooLarge
+	// UploadCutOff means that the upstream broke the connection while the request was still
+	// being sent, so that the response may lack its end.
+	UploadCutOff
 )
 
 var reasonNames = [...]string{
 	"", "queue-full", "withdrawn", "lease-expired", "deadline-passed", "draining", "no-upstream", "upstream-down",
 	"key-conflict", "key-unprovable", "key-table-full", "wrong-home", "suspect", "not-ready", "cancelled", "lost", "gap",
-	"overload", "no-build", "evacuated", "too-large",
+	"overload", "no-build", "evacuated", "too-large", "upload-cut-off",
 }
 
 // String returns the kebab-case name used in responses and logs.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -43,8 +43,8 @@
   's/if row\.nonIdempotent\(\) \|\| !router\.retries/if !router.retries/' $proof TestInvariantsUnderFaults
 mutant "at most once: no key table" internal/core/admission/reservations.go \
   's/if reserve\.Key != \(message\.Digest\{\}\) && !controller\.admitKey/if false \&\& !controller.admitKey/' $proof TestInvariantsUnderFaults
-mutant "at most once: the transport may send again" internal/node/upstream/upstream.go \
-  's/DisableKeepAlives: true/DisableKeepAlives: false/' ./internal/node/upstream TestNothingIsSentTwice
+mutant "at most once: a request is sent again without a response" internal/node/exchange/exchange.go \
+  's/if !errors\.Is\(err, errStale\) \{/if errors.Is(err, ErrNotSent) {/' ./internal/node/upstream TestNothingIsSentTwice
 mutant "true not-run: unknown requests are said not-run" internal/core/admission/reservations.go \
   's/controller\.send\(peer, message\.End\{ID: id, Outcome: message\.Unknown, Reason: message\.Lost\}\)/controller.replyRefused(now, peer, id, message.Lost)/' \
   ./internal/core/admission TestAttachAfterLoss
