Refuse responses whose status is none, or that come in an informational body

Callers saw: an upstream in trouble sends a response with status 000. What stood behind its head, with a head of its own, reached them as the response; so it did behind 001 to 099, unknown informational statuses, 101, and 100 or 102 with a length.

Cause: net/http reads any three digits, and the loop that skips informational responses skipped all below 200. Their bodies were read as the next head. The clients of the store and of the configuration service skip such heads inside net/http.

Change: package responsehead. A response has a status from 200 to 599; only 100, 102 and 103 without a body are skipped. Entries and sidecars fail the attempt with the reason malformed-response (502 to callers without sidecars), close the connection and do not take it for a crash; requests of net/http fail through a trace. Other connections to the upstream go on.

--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -19,6 +19,7 @@
 	"endivepost/internal/node/exchange"
 	"endivepost/internal/node/guard"
 	"endivepost/internal/node/telemetry"
+	"endivepost/internal/wire/responsehead"
 )
 
 const (
@@ -145,7 +146,7 @@
 		return event.TimedOut
 	case errors.Is(context.Cause(ctx), errStopped):
 		return event.Stopped
-	case errors.Is(err, errNotContinued), errors.Is(err, errUnstated), errors.Is(err, exchange.ErrOtherAnswer):
+	case errors.Is(err, errNotContinued), errors.Is(err, errUnstated), errors.Is(err, exchange.ErrOtherAnswer), errors.Is(err, responsehead.ErrMalformed):
 		return event.Unusable
 	}
 	return event.Interrupted
--- /dev/null
+++ b/internal/node/exchange/malformed_head_test.go
@@ -0,0 +1,84 @@
+package exchange_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"endivepost/internal/node/exchange"
+	"endivepost/internal/wire/message"
+	"endivepost/internal/wire/responsehead"
+)
+
+// TestMalformedHeadCostsItsConnection guards against a connection that is used on behind a
+// malformed head, and against one that is closed for what came on another: requests in flight
+// to the same upstream and idle connections stay.
+func TestMalformedHeadCostsItsConnection(t *testing.T) {
+	t.Parallel()
+	for _, head := range malformedHeads {
+		t.Run(head, func(t *testing.T) {
+			t.Parallel()
+			var opened atomic.Int64
+			closed, goOn := make(chan struct{}), make(chan struct{})
+			address := startServer(t, func(conn net.Conn, requests *bufio.Reader) {
+				opened.Add(1)
+				for id := readRequest(requests); id != ""; id = readRequest(requests) {
+					switch id {
+					case "malformed":
+						_, _ = fmt.Fprintf(conn, head, id)
+						_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
+						if _, err := requests.ReadByte(); !errors.Is(err, io.EOF) {
+							t.Errorf("the connection got error %v, want its end", err)
+						}
+						close(closed)
+						return
+					case "in flight":
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n\r\nbo", id)
+						<-goOn
+						_, _ = io.WriteString(conn, "dy")
+					default:
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n\r\nbody", id)
+					}
+				}
+			})
+			client := newClient()
+			inFlight, err := client.Do(t.Context(), newRequest(address, "in flight"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			idle, err := client.Do(t.Context(), newRequest(address, "idle"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = send(client, newRequest(address, "malformed"))
+			if !errors.Is(err, responsehead.ErrMalformed) || !errors.Is(err, exchange.ErrNoAnswer) || exchange.Reason(err) != message.MalformedResponse {
+				t.Errorf("got error %v with reason %q, want one that wraps ErrMalformed and ErrNoAnswer", err, exchange.Reason(err))
+			}
+			<-closed
+			_, err = io.ReadAll(idle.Body)
+			idle.Close(err == nil)
+			if got, err := send(client, newRequest(address, "later")); got != "body" || err != nil {
+				t.Errorf("a later request: got body %q, error %v, want \"body\"", got, err)
+			}
+			close(goOn)
+			if got, err := io.ReadAll(inFlight.Body); string(got) != "body" || err != nil {
+				t.Errorf("the request in flight: got body %q, error %v, want \"body\"", got, err)
+			}
+			inFlight.Close(true)
+			if got := opened.Load(); got != 3 {
+				t.Errorf("%d connections were opened, want 3", got)
+			}
+		})
+	}
+}
+
+var malformedHeads = []string{
+	"HTTP/1.1 000 None\r\nId: %s\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 199 None\r\n\r\nHTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 999 None\r\nId: %s\r\nContent-Length: 4\r\n\r\nbody",
+}
--- a/internal/node/exchange/response_head.go
+++ b/internal/node/exchange/response_head.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"endivepost/internal/wire/responsehead"
 )
 
 // A faulty upstream may send bytes without end where a response is due. Until the head of
@@ -14,8 +16,6 @@
 const (
 	// maxHeadBytes bounds the status line and header of a response.
 	maxHeadBytes = 64 << 10
-	// maxInformational bounds the informational responses before a response.
-	maxInformational = 16
 	// maxLateResponses and maxLateBytes bound the late responses to earlier requests that
 	// are skipped before the response to a request, and the body of each.
 	maxLateResponses = 2
@@ -51,15 +51,19 @@
 	return nil, errTooManyLate
 }
 
-// readHead returns the head of the next response that is not informational.
+// readHead returns the head of the next response that is not informational. Its error wraps
+// responsehead.ErrMalformed if what follows the head may be anything.
 func (connection *connection) readHead(method string) (*http.Response, error) {
-	for range maxInformational + 1 {
+	for range responsehead.MaxInformational + 1 {
 		connection.bounded.Allow(maxHeadBytes)
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if err := responsehead.Check(response); err != nil {
+			return nil, err
+		}
+		if !responsehead.IsInformational(response.StatusCode) {
 			return response, nil
 		}
 	}
--- a/internal/node/platform/platform.go
+++ b/internal/node/platform/platform.go
@@ -16,6 +16,7 @@
 	"endivepost/internal/config/document"
 	"endivepost/internal/core/event"
 	"endivepost/internal/data/nesting"
+	"endivepost/internal/wire/responsehead"
 )
 
 // Client reads from the configuration service over HTTP. The error of a failed request
@@ -99,7 +100,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.base+path, nil)
+	request, err := http.NewRequestWithContext(responsehead.WithTrace(ctx), http.MethodGet, client.base+path, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -23,6 +23,7 @@
 	"endivepost/internal/node/retryafter"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/wire/message"
+	"endivepost/internal/wire/responsehead"
 )
 
 // Upstream runs requests over HTTP, each in its own goroutine, and posts response
@@ -231,8 +232,8 @@
 
 // failure maps an error to the end of a run. Nothing was sent if the lease had expired or the
 // connection could not be opened, or broke before the first byte. A stall or a cancelled run, for which the context has a
-// cause, is not a crash, nor is a response that does not resume the stream. Any other error
-// counts as a crash of the upstream.
+// cause, is not a crash, nor is a response that does not resume the stream or has a malformed
+// head. Any other error counts as a crash of the upstream.
 func (upstream *Upstream) failure(ctx context.Context, id message.RequestID, err error) event.RunEnded {
 	switch {
 	case errors.Is(err, errLeaseExpired):
@@ -244,7 +245,7 @@
 		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.UpstreamDown}
 	}
 	ended := event.RunEnded{Outcome: message.Incomplete, Reason: exchange.Reason(err), Crashed: true}
-	if context.Cause(ctx) != nil || errors.Is(err, errNotResumed) {
+	if context.Cause(ctx) != nil || errors.Is(err, errNotResumed) || errors.Is(err, responsehead.ErrMalformed) {
 		ended.Crashed = false
 	}
 	if upstream.settings.Failed != nil {
--- a/internal/wire/message/outcome.go
+++ b/internal/wire/message/outcome.go
@@ -88,12 +88,15 @@
 	// UploadCutOff means that the upstream broke the connection while the request was still
 	// being sent, so that the response may lack its end.
 	UploadCutOff
+	// MalformedResponse means that the upstream sent something that is no response.
+	MalformedResponse
 )
 
 var reasonNames = [...]string{
 	"", "queue-full", "withdrawn", "lease-expired", "deadline-passed", "draining", "no-upstream", "upstream-down",
 	"key-conflict", "key-unprovable", "key-table-full", "wrong-home", "suspect", "not-ready", "cancelled", "lost", "gap",
 	"overload", "no-build", "evacuated", "too-large", "upload-cut-off",
+	"malformed-response",
 }
 
 // String returns the kebab-case name used in responses and logs.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -143,7 +143,7 @@
 mutant "backoff: callers are not told its end" internal/core/dispatch/backoffs.go \
   's/return end - now \+ /return /' $dispatch TestRequestsInBackoff
 mutant "bounds: informational responses without end" internal/node/exchange/response_head.go \
-  's/range maxInformational \+ 1/range 1 << 40/' ./internal/node/exchange TestEndlessHead
+  's/range responsehead\.MaxInformational \+ 1/range 1 << 40/' ./internal/node/exchange TestEndlessHead
 mutant "bounds: a comment counts as an event" internal/node/eventstream/eventstream.go \
   's/if HasData\(data\) \{/if true {/' ./internal/node/eventstream TestEndlessStream
 cause=internal/core/crashcause
@@ -224,4 +224,12 @@
   's/bandMargin = 1\.08/bandMargin = 1.0/' ./internal/policy/dedicated TestRankIsStable
 mutant "even load: the choice is even at any cost" internal/policy/evenload/evenload.go \
   's/if candidates\[i\]\.Cost >= level \{/if false {/' ./internal/policy/evenload TestShares
+mutant "broken responses: the end of a connection always completes a body" internal/node/exchange/answer_body.go \
+  's/if result\.err == nil \{/if true {/' ./internal/node/exchange TestResetDuringUpload
+mutant "broken responses: the head is read as by net/http" internal/node/exchange/response_head.go \
+  's/if err := responsehead\.Check\(response\); err != nil/if err := responsehead.Check(response); false \&\& err != nil/' ./platform TestBrokenHeadsAreNoResponse
+mutant "broken responses: unknown informational statuses are skipped" internal/wire/responsehead/responsehead.go \
+  's/if !known\[status\]/if false/' ./internal/wire/responsehead TestStatuses
+mutant "broken responses: informational responses may have a body" internal/wire/responsehead/responsehead.go \
+  's/; length != "" .*len\(transferEncoding\) > 0 \{/; length == "-" {/' ./internal/wire/responsehead TestInformationalBodies
 exit $survived
