Refuse responses with a broken name of a field, in the head or the trailer

Callers saw: an upstream in trouble sends a head in which the name of a field holds a blank, or has one before its colon.

Cause: net/http accepts blanks in names and keeps such a field under its odd name, so that it is not seen. It joins a line that begins with a blank to the value before, also to the signature. Names with control bytes, tabs, DEL, bytes beyond ASCII or without any byte were refused already: those tests are kept.

Names of trailers are checked at the end of a body, and the names that net/http read for the store, the configuration service and the handshake once they are parsed. The attempt fails as malformed-response and its connection is closed.

--- a/internal/node/exchange/answer.go
+++ b/internal/node/exchange/answer.go
@@ -61,6 +61,7 @@
 			conn.close()
 			return
 		}
+		conn.shrinkBuffer()
 		conn.usableUntil = time.Now().Add(idleFor)
 		answer.client.putIdle(answer.address, conn)
 	})
--- a/internal/node/platform/platform.go
+++ b/internal/node/platform/platform.go
@@ -109,6 +109,9 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := responsehead.Check(response); err != nil {
+		return nil, err
+	}
 	if response.StatusCode == http.StatusNotModified {
 		return nil, ErrNotModified
 	}
@@ -119,5 +122,5 @@
 	if err == nil && int64(len(raw)) > maxBytes {
 		err = fmt.Errorf("response is larger than %d bytes", maxBytes)
 	}
-	return raw, err
+	return raw, errors.Join(err, responsehead.CheckNames(response.Trailer))
 }
--- a/internal/wire/link/link.go
+++ b/internal/wire/link/link.go
@@ -16,6 +16,7 @@
 
 	"endivepost/internal/data/boundedreader"
 	"endivepost/internal/wire/message"
+	"endivepost/internal/wire/responsehead"
 )
 
 // Link is one authenticated connection between two processes. Writes go through
@@ -97,7 +98,7 @@
 		return nil, handshakeError(response, err)
 	}
 	bounded.AllowAll()
-	peer, err := readIdentity(response.Header)
+	peer, err := readPeer(response)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -105,6 +106,14 @@
 	return newLink(conn, peer), nil
 }
 
+// readPeer returns the identity of the peer in the response to the handshake.
+func readPeer(response *http.Response) (Identity, error) {
+	if err := responsehead.CheckNames(response.Header); err != nil {
+		return Identity{}, err
+	}
+	return readIdentity(response.Header)
+}
+
 // boundedConn is a connection that is read through a bounded reader.
 type boundedConn struct {
 	net.Conn
--- a/internal/wire/responsehead/trace.go
+++ b/internal/wire/responsehead/trace.go
@@ -21,7 +21,7 @@
 			if received > MaxInformational {
 				return fmt.Errorf("%w: got %d informational responses, want at most %d", ErrMalformed, received, MaxInformational)
 			}
-			return checkInformational(status, http.Header(header), nil)
+			return Check(&http.Response{StatusCode: status, Header: http.Header(header)})
 		},
 	})
 }
