Split the client of upstreams and the events of attempts by concern

Change: declarations are moved only; the lines of each package before and after are the same but for imports. exchange.go keeps Do and dialing, idle.go the pool, request.go the request, head_lines.go the check of lines; upstream.go, relay.go and request.go for sidecars; event/attempt.go; direct/attempt_result.go and buffered_response.go.

--- a/internal/node/direct/attempt.go
+++ b/internal/node/direct/attempt.go
@@ -3,12 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -19,7 +15,6 @@
 	"endivepost/internal/node/exchange"
 	"endivepost/internal/node/guard"
 	"endivepost/internal/node/telemetry"
-	"endivepost/internal/wire/responsehead"
 )
 
 const (
@@ -43,27 +38,6 @@
 	errCallerDisconnected = errors.New("the response could not be written to the caller")
 )
 
-// bufferedResponse is an upstream's complete response that is not streamed.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// write sends the response to the caller.
-func (buffered *bufferedResponse) write(inflight *inflight) error {
-	header := inflight.writer.Header()
-	for name, values := range inflight.entry.settings.Dialect.CallerHeader(buffered.header) {
-		header[name] = values
-	}
-	header.Set("Content-Length", strconv.Itoa(len(buffered.body)))
-	inflight.writer.WriteHeader(buffered.status)
-	if _, err := inflight.writer.Write(buffered.body); err != nil {
-		return errors.Join(errCallerDisconnected, err)
-	}
-	return nil
-}
-
 // runAttempt sends the request to one upstream and relays its response.
 func (inflight *inflight) runAttempt(ctx context.Context, attempt event.Attempt) (ended event.AttemptEnded) {
 	ended = event.AttemptEnded{ID: attempt.ID, Number: attempt.Number}
@@ -103,55 +77,6 @@
 	return ended
 }
 
-// withFailure returns the end of the attempt with the result of the error, which it logs.
-func (inflight *inflight) withFailure(ctx context.Context, attempt event.Attempt, ended event.AttemptEnded, err error) event.AttemptEnded {
-	ended.Result = failureResult(ctx, err)
-	ended.NoBreak = !isBreak(err)
-	if ended.Result == event.Interrupted || ended.Result == event.Unusable {
-		ended.Reason = exchange.Reason(err)
-	}
-	inflight.logFailure(ctx, attempt, ended.Reason, err)
-	return ended
-}
-
-// isBreak reports whether the error is that of a connection which the upstream refused, reset
-// or closed, as it does when its process ends.
-func isBreak(err error) bool {
-	var operation *net.OpError
-	switch {
-	case errors.Is(err, exchange.ErrOtherAnswer), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
-		return false
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return true
-	}
-	return errors.As(err, &operation) && !operation.Timeout()
-}
-
-// failureResult maps an error to an attempt result, which determines whether the
-// upstream may have run the request.
-func failureResult(ctx context.Context, err error) event.AttemptResult {
-	unsent := errors.Is(err, exchange.ErrNotConnected) || errors.Is(err, exchange.ErrNotSent)
-	switch {
-	case errors.Is(context.Cause(ctx), context.Canceled), errors.Is(err, errCallerDisconnected):
-		return event.Abandoned
-	case errors.Is(err, errWithdrawn), errors.Is(err, errSentTooLate):
-		return event.Withdrawn
-	case errors.Is(err, exchange.ErrClosedIdle):
-		return event.Unconfirmed
-	case unsent && errors.Is(context.Cause(ctx), errDeadline), errors.Is(err, errDeadline):
-		return event.NotSent
-	case unsent:
-		return event.ConnectFailed
-	case errors.Is(context.Cause(ctx), errDeadline):
-		return event.TimedOut
-	case errors.Is(context.Cause(ctx), errStopped):
-		return event.Stopped
-	case errors.Is(err, errNotContinued), errors.Is(err, errUnstated), errors.Is(err, exchange.ErrOtherAnswer), errors.Is(err, responsehead.ErrMalformed):
-		return event.Unusable
-	}
-	return event.Interrupted
-}
-
 // upstreamRequest returns the request to the upstream. Its header is built once the
 // connection is open, so that the timeout in it excludes the time to connect.
 func (inflight *inflight) upstreamRequest(ctx context.Context, attempt event.Attempt) exchange.Request {
@@ -252,23 +177,3 @@
 	inflight.timeToFirst = time.Since(inflight.arrived)
 	return event.Completed, buffered.write(inflight)
 }
-
-// impliesNotRun reports whether callers take the status as a promise that the request did
-// not run and may be sent again.
-func impliesNotRun(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
-}
-
-// readResponse reads a response of at most limit bytes into memory. The error is
-// errTooLarge if more follow; the response then has the first limit + 1 bytes.
-func readResponse(answer *exchange.Answer, limit int64) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	buffered := &bufferedResponse{status: answer.StatusCode, header: answer.Header, body: body}
-	if int64(len(body)) > limit {
-		return buffered, errTooLarge
-	}
-	return buffered, nil
-}
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -6,17 +6,12 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -42,44 +37,6 @@
 	MaxOpen int
 }
 
-// Request is an HTTP request to the upstream at Address (host:port). Target is the
-// path with the query, Host the value of the Host field.
-type Request struct {
-	Address string
-	Method  string
-	Target  string
-	Host    string
-	// Body is the body in segments.
-	Body [][]byte
-	// Fresh requires a new connection, on which no response to an earlier request can
-	// arrive.
-	Fresh bool
-	// SameProcess requires that the upstream has not closed the idle connections to it, as it
-	// does when it restarts. Otherwise the error is ErrClosedIdle, and nothing was sent.
-	SameProcess bool
-	// Header returns the header without Host and Content-Length. It is called once a
-	// connection is open, right before the request is written, and again if that
-	// connection turns out to be closed. Its error is returned with ErrNotSent.
-	Header func() (http.Header, error)
-	// Match reports whether a response belongs to this request: an upstream may
-	// deliver the response to an earlier request late.
-	Match func(*http.Response) Match
-}
-
-// Match is whether a response belongs to the request in flight, by its header.
-type Match uint8
-
-// The results of matching a response with the request in flight.
-const (
-	// Matched means that the response belongs to the request.
-	Matched Match = iota + 1
-	// Mismatched means that the response belongs to another request.
-	Mismatched
-	// Unidentified means that the response carries no request ID. It belongs to the
-	// request only if that is the first one on its connection.
-	Unidentified
-)
-
 // Errors of Do, by how far the request came.
 var (
 	// ErrNotConnected means that the connection could not be opened.
@@ -111,10 +68,6 @@
 // lateTimeout is how late a timeout is noticed only by a process that did not run meanwhile.
 const lateTimeout = 100 * time.Millisecond
 
-// idleTimeoutMargin is how long before the upstream closes an idle connection we stop
-// reusing it.
-const idleTimeoutMargin = 600 * time.Millisecond
-
 // New returns a Client without open connections.
 func New(settings Settings) *Client {
 	return &Client{settings: settings, idle: make(map[string][]*connection)}
@@ -195,22 +148,6 @@
 	}
 }
 
-// makeRoom closes an idle connection if no more may be opened.
-func (client *Client) makeRoom() {
-	if client.settings.MaxOpen <= 0 || client.open.Load() < int64(client.settings.MaxOpen) {
-		return
-	}
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	for address, pooled := range client.idle {
-		if len(pooled) > 0 {
-			pooled[0].close()
-			client.idle[address] = pooled[1:]
-			return
-		}
-	}
-}
-
 // Open returns the number of open connections.
 func (client *Client) Open() int64 { return client.open.Load() }
 
@@ -223,101 +160,3 @@
 	opened.close()
 	return nil
 }
-
-func (client *Client) takeIdle(address string) *connection {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	pooled := client.idle[address]
-	if len(pooled) == 0 {
-		return nil
-	}
-	newest := pooled[len(pooled)-1]
-	client.idle[address] = pooled[:len(pooled)-1]
-	return newest
-}
-
-func (client *Client) putIdle(address string, pooled *connection) {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	if len(client.idle[address]) >= client.settings.MaxIdle {
-		pooled.close()
-		return
-	}
-	client.idle[address] = append(client.idle[address], pooled)
-}
-
-// Drop closes the idle connections to the address. The next request has to open a
-// new one, and so detects an unreachable upstream before it is sent.
-func (client *Client) Drop(address string) {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	for _, pooled := range client.idle[address] {
-		pooled.close()
-	}
-	delete(client.idle, address)
-}
-
-// dropIfReset closes the idle connections to the address if the error is a reset: they may be
-// lost too, without a sign of it, and each would cost another request.
-func (client *Client) dropIfReset(address string, err error) {
-	if errors.Is(err, syscall.ECONNRESET) {
-		client.Drop(address)
-	}
-}
-
-// Prune closes the idle connections that are too old to be reused.
-func (client *Client) Prune(now time.Time) {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	for address, connections := range client.idle {
-		var kept []*connection
-		for _, pooled := range connections {
-			if now.Before(pooled.usableUntil) {
-				kept = append(kept, pooled)
-				continue
-			}
-			pooled.close()
-		}
-		if len(kept) == 0 {
-			delete(client.idle, address)
-			continue
-		}
-		client.idle[address] = kept
-	}
-}
-
-func (request Request) bodyLength() (length int) {
-	for _, segment := range request.Body {
-		length += len(segment)
-	}
-	return length
-}
-
-// head returns the encoded request line and header.
-func (request Request) head(header http.Header) []byte {
-	var buffer bytes.Buffer
-	fmt.Fprintf(&buffer, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.Target, request.Host)
-	_ = header.Write(&buffer)
-	if length := request.bodyLength(); length > 0 || request.Method != http.MethodGet {
-		fmt.Fprintf(&buffer, "Content-Length: %d\r\n", length)
-	}
-	buffer.WriteString("\r\n")
-	return buffer.Bytes()
-}
-
-// keepAlive returns how long the connection may stay idle before it is reused: the time
-// in the response's Keep-Alive header less idleTimeoutMargin, or the default without
-// one. It returns false if the connection must not be reused.
-func keepAlive(response *http.Response, defaultTimeout time.Duration) (time.Duration, bool) {
-	if response.Close {
-		return 0, false
-	}
-	for part := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		seconds, err := strconv.Atoi(value)
-		if strings.EqualFold(name, "timeout") && err == nil {
-			return time.Duration(seconds)*time.Second - idleTimeoutMargin, seconds > 0
-		}
-	}
-	return defaultTimeout, true
-}
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -3,14 +3,10 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,12 +14,10 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"endivepost/internal/core/event"
-	"endivepost/internal/node/eventstream"
 	"endivepost/internal/node/exchange"
 	"endivepost/internal/node/retryafter"
 	"endivepost/internal/node/telemetry"
 	"endivepost/internal/wire/message"
-	"endivepost/internal/wire/responsehead"
 )
 
 // Upstream runs requests over HTTP, each in its own goroutine, and posts response
@@ -185,166 +179,3 @@
 		upstream.post(event.BackoffRequested{For: backoff})
 	}
 }
-
-// request returns the request to the upstream. Each response belongs to it: its connection is
-// new.
-func (upstream *Upstream) request(ctx context.Context, start event.StartRun) exchange.Request {
-	return exchange.Request{
-		Address: upstream.settings.Address,
-		Method:  start.Payload.Method,
-		Target:  start.Payload.Path,
-		Host:    upstream.settings.Address,
-		Body:    [][]byte{start.Payload.Body},
-		Fresh:   true,
-		Header:  func() (http.Header, error) { return upstream.header(ctx, start) },
-		Match:   func(*http.Response) exchange.Match { return exchange.Matched },
-	}
-}
-
-// header returns the header of the request. It reads the clock right before sending: a process
-// that was paused since the grant must not run a request that its entry has timed out
-// meanwhile.
-func (upstream *Upstream) header(ctx context.Context, start event.StartRun) (http.Header, error) {
-	if upstream.settings.Uptime() > start.NotAfter {
-		return nil, errLeaseExpired
-	}
-	header := make(http.Header)
-	for _, field := range start.Payload.Header {
-		header.Add(field.Name, field.Value)
-	}
-	for _, name := range framingHeaders {
-		header.Del(name)
-	}
-	header.Set("Connection", "close")
-	header.Set(HeaderPriority, strconv.Itoa(start.Tier))
-	if start.ResumeFrom > 0 {
-		header.Set(HeaderResumeOffset, strconv.Itoa(start.ResumeFrom))
-	}
-	if parent := telemetry.Inject(ctx); parent != "" {
-		header.Set("Traceparent", parent)
-	}
-	return header, nil
-}
-
-// framingHeaders are the fields that say where a request goes and where it ends. They are
-// derived from the request itself.
-var framingHeaders = []string{"Host", "Content-Length", "Transfer-Encoding", "Trailer"}
-
-// failure maps an error to the end of a run. Nothing was sent if the lease had expired or the
-// connection could not be opened, or broke before the first byte. A stall or a cancelled run, for which the context has a
-// cause, is not a crash, nor is a response that does not resume the stream or has a malformed
-// head. Any other error counts as a crash of the upstream.
-func (upstream *Upstream) failure(ctx context.Context, id message.RequestID, err error) event.RunEnded {
-	switch {
-	case errors.Is(err, errLeaseExpired):
-		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.LeaseExpired}
-	case errors.Is(err, exchange.ErrNotConnected) && context.Cause(ctx) == nil:
-		upstream.post(event.UpstreamChecked{Up: false})
-		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.UpstreamDown}
-	case errors.Is(err, exchange.ErrNotConnected), errors.Is(err, exchange.ErrNotSent):
-		return event.RunEnded{NotStarted: true, Outcome: message.NotRun, Reason: message.UpstreamDown}
-	}
-	ended := event.RunEnded{Outcome: message.Incomplete, Reason: exchange.Reason(err), Crashed: true}
-	if context.Cause(ctx) != nil || errors.Is(err, errNotResumed) || errors.Is(err, responsehead.ErrMalformed) {
-		ended.Crashed = false
-	}
-	if upstream.settings.Failed != nil {
-		upstream.settings.Failed(id, ended.Reason, err)
-	}
-	return ended
-}
-
-func (upstream *Upstream) relay(ctx context.Context, start event.StartRun, response *http.Response, watchdog *watchdog) error {
-	if isEventStream(response) {
-		return upstream.relayEvents(ctx, start, response.Body, watchdog)
-	}
-	return upstream.relayBytes(ctx, start.ID, response.Body, watchdog)
-}
-
-// postData posts a part of the response once it is admitted. The stall timeout does not run
-// meanwhile: the upstream has sent the data.
-func (upstream *Upstream) postData(ctx context.Context, id message.RequestID, data []byte, watchdog *watchdog) error {
-	if upstream.settings.Admit != nil {
-		watchdog.reset(0)
-		if err := upstream.settings.Admit(ctx, id, len(data)); err != nil {
-			return err
-		}
-	}
-	watchdog.reset(upstream.settings.StallTimeout)
-	upstream.post(event.ResponseChunk{ID: id, Data: data})
-	return nil
-}
-
-func isEventStream(response *http.Response) bool {
-	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
-}
-
-func (upstream *Upstream) relayBytes(ctx context.Context, id message.RequestID, body io.Reader, watchdog *watchdog) error {
-	buffer := make([]byte, readBytes)
-	for {
-		count, err := body.Read(buffer)
-		if count > 0 {
-			if err := upstream.postData(ctx, id, bytes.Clone(buffer[:count]), watchdog); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// relayEvents posts each server-sent event as one chunk, together with the comments before
-// it: a resumed stream skips as many events as there were chunks. A stream is complete only
-// with the [DONE] event.
-func (upstream *Upstream) relayEvents(ctx context.Context, start event.StartRun, body io.Reader, watchdog *watchdog) error {
-	reader := eventstream.New(body)
-	done := false
-	var comments []byte
-	data, err := firstEvent(reader, start.ResumeFrom > 0)
-	for ; err == nil; data, err = reader.Next() {
-		// Comments keep a connection open and are no progress.
-		if !eventstream.HasData(data) {
-			comments = append(comments, data...)
-			continue
-		}
-		if bytes.HasPrefix(data, []byte(doneEvent)) {
-			done = true
-			comments = nil
-		}
-		if err := upstream.postData(ctx, start.ID, append(comments, data...), watchdog); err != nil {
-			return err
-		}
-		comments = nil
-	}
-	switch {
-	case !errors.Is(err, io.EOF):
-		return err
-	case !done:
-		return errTruncated
-	}
-	return nil
-}
-
-// firstEvent returns the first event or comment to post. In a resumed stream that is the
-// first event with data, and an event that reports an error does not resume it.
-func firstEvent(reader *eventstream.Reader, resumed bool) ([]byte, error) {
-	data, err := reader.Next()
-	for resumed && err == nil && !eventstream.HasData(data) {
-		data, err = reader.Next()
-	}
-	if resumed && err == nil && eventstream.Type(data) == errorEvent {
-		return nil, errNotResumed
-	}
-	return data, err
-}
-
-// excludedHeaders are the fields of a response that apply to its connection only, and
-// those that the entry's HTTP server sets itself: Date and Content-Length. HeaderLeaving is
-// meant for the sidecar.
-var excludedHeaders = map[string]bool{
-	"Connection": true, "Transfer-Encoding": true, "Keep-Alive": true, "Date": true, "Content-Length": true, HeaderLeaving: true,
-}
