End a request behind a sidecar after two malformed responses, with its reason

Callers saw: with a malformed response is no crash of a sidecar's upstream. An idempotent request was then sent again until the retries of all requests were used up: 21 times at the only upstream, where a crash ends it after the second. A non-idempotent one got 504, the status of an unknown outcome.

Cause: crashes, not failures, bounded the attempts of a request at the router. Change: the router counts malformed responses to a request and ends it at the second; callers of both forms get 502 with the reason malformed-response or upload-cut-off.

--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -55,6 +55,8 @@
 	detached bool
 	// mayHaveRun is set once an earlier attempt may have run.
 	mayHaveRun bool
+	// malformed counts the malformed responses to its attempts.
+	malformed int
 	// trial is true if the first attempt tries an attribute that is blamed for crashes.
 	trial bool
 	// wastedTokens counts the chunks of attempts that failed.
--- a/internal/core/router/responses.go
+++ b/internal/core/router/responses.go
@@ -8,6 +8,10 @@
 	"endivepost/internal/wire/message"
 )
 
+// maxMalformed is the number of malformed responses to a request after which it ends: it would
+// otherwise take the retries of others at an upstream in trouble.
+const maxMalformed = 2
+
 // firstErrorStatus is the lowest HTTP status that is an error.
 const firstErrorStatus = 400
 
@@ -98,8 +102,9 @@
 
 // retry places an idempotent request again, at another sidecar if there is one, with
 // a new deadline. A stream resumes after its last delivered chunk; any other response, and a
-// stream without data so far, starts over. A non-idempotent request is never sent a second time. The request ends
-// instead if it may have crashed too many upstreams or if the retry budget is empty.
+// stream without data so far, starts over. A non-idempotent request is never sent a second
+// time. The request ends instead if it may have crashed too many upstreams, if its responses
+// were malformed or if the retry budget is empty.
 func (router *Router) retry(now time.Duration, row requestRow, reason message.Reason) {
 	row.mayHaveRun = true
 	row.trial = false
@@ -110,7 +115,10 @@
 		router.finish(now, row, row.partialOutcome(), message.Suspect)
 		return
 	}
-	if row.nonIdempotent() || !router.retries.Take() {
+	if reason == message.MalformedResponse {
+		row.malformed++
+	}
+	if row.nonIdempotent() || row.malformed >= maxMalformed || !router.retries.Take() {
 		router.finish(now, row, row.partialOutcome(), reason)
 		return
 	}
--- a/internal/core/router/router_test.go
+++ b/internal/core/router/router_test.go
@@ -86,6 +86,21 @@
 	}
 }
 
+// TestMalformedResponsesEndRequest: an idempotent request is sent once more after a malformed
+// response, and not until the retries of all requests are used up.
+func TestMalformedResponsesEndRequest(t *testing.T) {
+	entry, attemptID := newBound(t)
+	for attempt := 1; attempt <= 2; attempt++ {
+		outputs := entry.Step(now, []event.Input{from(message.End{ID: attemptID, Outcome: message.Incomplete, Reason: message.MalformedResponse})})
+		finished := count(outputs, func(finish event.Finish) bool { return finish.Reason == message.MalformedResponse })
+		if finished != attempt-1 {
+			t.Fatalf("malformed response %d: outputs %+v, want a finish after the second", attempt, outputs)
+		}
+		attemptID = attemptID.WithAttempt(attempt + 1)
+		entry.Step(now, []event.Input{from(message.Heartbeat{Uptime: 2, ConfigVersion: 1, Load: message.Load{Limit: 1}}), from(message.Claim{ID: attemptID})})
+	}
+}
+
 // TestGapIsRequestedOnce: chunks after a gap must not be delivered, and the missing
 // chunks must be requested once and not for each chunk that arrives.
 func TestGapIsRequestedOnce(t *testing.T) {
--- a/internal/node/caller/reply.go
+++ b/internal/node/caller/reply.go
@@ -279,6 +279,10 @@
 		}
 		return http.StatusServiceUnavailable
 	case message.Unknown:
+		switch finish.Reason {
+		case message.UploadCutOff, message.MalformedResponse:
+			return http.StatusBadGateway
+		}
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
--- a/internal/node/entry/stop_test.go
+++ b/internal/node/entry/stop_test.go
@@ -49,16 +49,23 @@
 	served := httptest.NewServer(upstream)
 	t.Cleanup(served.Close)
 	t.Cleanup(served.CloseClientConnections)
+	return newFleetAt(t, served.Listener.Addr().String())
+}
+
+// newFleetAt starts a fleet with the upstream at the address.
+func newFleetAt(t *testing.T, upstream string) *fleet {
+	t.Helper()
 	started := &fleet{address: freeAddress(t), stopped: make(chan struct{})}
 	sidecarAddress := freeAddress(t)
-	document := fmt.Sprintf(`{"version": 1, "classes": [{"name": "fetch", "tier": 1, "service": "files", "whole-answer": "20s"}],
+	document := fmt.Sprintf(`{"version": 1, "classes": [{"name": "fetch", "tier": 1, "service": "files", "whole-answer": "20s"},
+			{"name": "post", "tier": 1, "service": "files", "whole-answer": "20s", "non-idempotent": true}],
 		"accounts": [{"name": "desk", "key-sha256": "%x", "default-class": "fetch"}], "upstreams": [{"name": "files-1", "service": "files"}]}`,
 		sha256.Sum256([]byte(key)))
 	vms := fmt.Sprintf(`[{"name": "files-1", "address": %q, "role": "sidecar", "domain": "a"}]`, sidecarAddress)
 	published := httptest.NewServer(platform.New([]byte(document), []byte(vms), 1000).Handler())
 	t.Cleanup(published.Close)
 	t.Cleanup(published.CloseClientConnections)
-	go runSidecar(t, sidecarAddress, served.Listener.Addr().String())
+	go runSidecar(t, sidecarAddress, upstream)
 	started.runEntry(t, published.URL)
 	started.awaitReady(t)
 	return started
--- a/internal/node/exchange/cut_upload_test.go
+++ b/internal/node/exchange/cut_upload_test.go
@@ -165,3 +165,28 @@
 		}
 	}
 }
+
+// TestLateResponseDuringUpload guards against the response to an earlier request that comes
+// once more, without a length, and is reset while the next request is being written: neither it
+// nor its end is a response to that.
+func TestLateResponseDuringUpload(t *testing.T) {
+	t.Parallel()
+	for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			address := startRaw(t, func(request *http.Request) rawupstream.Response {
+				if request.Header.Get("Id") == "first" {
+					return rawupstream.Response{Text: "HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 4\r\n\r\nbody", Ending: rawupstream.Next}
+				}
+				return rawupstream.Response{Text: "HTTP/1.1 200 OK\r\nId: first\r\n\r\nbody", Pause: pause, Ending: rawupstream.Reset}
+			})
+			client := newClient()
+			if got, err := send(client, newRequest(address, "first")); got != "body" || err != nil {
+				t.Fatalf("got body %q, error %v, want \"body\"", got, err)
+			}
+			if got, err := send(client, newUpload(address, "second")); !errors.Is(err, exchange.ErrNoAnswer) {
+				t.Errorf("got body %q, error %v, want one that wraps ErrNoAnswer", got, err)
+			}
+		})
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -160,7 +160,7 @@
   's/next = max\(next, row\.at\+gap\)//' ./$cause TestTrialsOfCrashingPart
 mutant "Try a blamed part: at all processes at once" $cause/trials.go \
   's/next = max\(next, trial\.at\+maxTrialTime\)//' ./$cause TestTrialsOfCrashingPart
-mutant "reset: idle connections are kept" internal/node/exchange/exchange.go \
+mutant "reset: idle connections are kept" internal/node/exchange/idle.go \
   's/if errors\.Is\(err, syscall\.ECONNRESET\)/if false \&\& errors.Is(err, syscall.ECONNRESET)/' ./internal/node/exchange TestResetCostsOneRequest
 mutant "Ask which builds serve: old answers count" internal/core/dispatch/stream_origins.go \
   's/!answered \|\| answer\.stamp < row\.arrived/!answered/' $dispatch TestStreamsAreTakenUpAtEntryOutOfStep
@@ -238,4 +238,6 @@
   's/malformed != nil \{/false \&\& malformed != nil {/' ./platform TestBrokenTrailersAreNoResponse
 mutant "broken responses: a line may begin with a blank" internal/wire/responsehead/fields.go \
   's/bytes\.Cut\(line, /bytes.Cut(bytes.TrimLeft(line, " "), /' ./internal/wire/responsehead TestNames
+mutant "broken responses: a request takes all retries" internal/core/router/responses.go \
+  's/ \|\| row\.malformed >= maxMalformed//' ./internal/core/router TestMalformedResponsesEndRequest
 exit $survived
