Give each listener of a test its own loopback address

Cause: tests picked a port on 127.0.0.1, closed it and had a process listen there later. No check or bound is changed.

--- a/internal/node/entry/stop_test.go
+++ b/internal/node/entry/stop_test.go
@@ -23,6 +23,7 @@
 	"endivepost/internal/policy/fixed"
 	"endivepost/internal/policy/latebinding"
 	"endivepost/internal/policy/tiered"
+	"endivepost/internal/standin/loopback"
 	"endivepost/internal/standin/platform"
 	"endivepost/internal/wire/message"
 )
@@ -73,12 +74,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func newTelemetry(t *testing.T, process string) *telemetry.Telemetry {
--- a/internal/soak/callers/machine_test.go
+++ b/internal/soak/callers/machine_test.go
@@ -24,6 +24,7 @@
 
 	"endivepost/internal/config/document"
 	"endivepost/internal/core/event"
+	"endivepost/internal/standin/loopback"
 )
 
 const (
@@ -92,12 +93,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func (machine *machine) start(t *testing.T, arguments ...string) {
--- a/internal/soak/processes/fleet_test.go
+++ b/internal/soak/processes/fleet_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"endivepost/internal/standin/loopback"
 )
 
 const (
@@ -59,9 +61,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener := listen(t)
-	defer listener.Close()
-	return listener.Addr().String()
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
 }
 
 // newFleet starts the stubs and the entries and waits until these are ready.
