--- a/internal/node/exchange/answer_body.go
+++ b/internal/node/exchange/answer_body.go
@@ -16,7 +16,8 @@
 	answer *Answer
 }
 
-// Read implements io.Reader. The error is io.EOF only at the end of a complete body.
+// Read implements io.Reader. The error is io.EOF only at the end of a complete body, and comes
+// without data: what has arrived must not wait until the request is written.
 func (body answerBody) Read(data []byte) (int, error) {
 	count, err := body.ReadCloser.Read(data)
 	if err == nil || count > 0 && errors.Is(err, io.EOF) {
