Give sidecars a small read buffer, and look bytes of names up in a table

Cause: with the client of entries a sidecar held 16 KiB to read each response; net/http held 4 KiB. Change: Settings.ReadBufferBytes, 4 KiB for sidecars; parts of a body are read past the buffer, a longer head lets it grow. Bytes of names are looked up in a table.

--- a/internal/node/exchange/connection.go
+++ b/internal/node/exchange/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,6 +19,8 @@
 	conn    net.Conn
 	bounded *boundedreader.Reader
 	reader  *bufio.Reader
+	// bufferBytes is the usual size of the reader's buffer.
+	bufferBytes int
 	// used is set once the connection has carried a request.
 	used        bool
 	idleTimeout time.Duration
@@ -34,7 +37,7 @@
 var errStale = errors.New("the upstream closed the idle connection")
 
 const (
-	readBufferBytes = 16 << 10
+	defaultBufferBytes = 16 << 10
 	// inlineBytes is the size up to which a request is written before the response is
 	// read. Longer ones are written in parallel, since the upstream may respond before
 	// it has received all of them.
@@ -42,9 +45,13 @@
 )
 
 // newConnection returns the connection. It calls closed once it closes it.
-func newConnection(conn net.Conn, idleTimeout time.Duration, closed func()) *connection {
+func newConnection(conn net.Conn, settings Settings, closed func()) *connection {
+	bufferBytes := cmp.Or(settings.ReadBufferBytes, defaultBufferBytes)
 	bounded := boundedreader.New(conn)
-	return &connection{conn: conn, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idleTimeout: idleTimeout, closed: closed}
+	return &connection{
+		conn: conn, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes), bufferBytes: bufferBytes,
+		idleTimeout: settings.IdleTimeout, closed: closed,
+	}
 }
 
 func (connection *connection) close() {
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -32,6 +32,9 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the idle connections to one address.
 	MaxIdle int
+	// ReadBufferBytes is the size of a connection's read buffer, 0 for 16 KiB. It grows for a
+	// longer head.
+	ReadBufferBytes int
 	// MaxOpen is the number of connections from which on an idle one is closed before
 	// another is opened, 0 for no limit.
 	MaxOpen int
@@ -140,7 +143,7 @@
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
 			client.open.Add(1)
-			return newConnection(conn, client.settings.IdleTimeout, func() { client.open.Add(-1) }), nil
+			return newConnection(conn, client.settings, func() { client.open.Add(-1) }), nil
 		}
 		if ctx.Err() != nil || time.Since(started) < client.settings.DialTimeout+lateTimeout {
 			return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
--- a/internal/node/exchange/head_lines.go
+++ b/internal/node/exchange/head_lines.go
@@ -34,13 +34,13 @@
 // growBuffer replaces the read buffer, which is full, by one for any head that is allowed.
 func (connection *connection) growBuffer(arrived []byte) {
 	source := io.MultiReader(bytes.NewReader(bytes.Clone(arrived)), connection.bounded)
-	connection.reader = bufio.NewReaderSize(source, readBufferBytes+maxHeadBytes)
+	connection.reader = bufio.NewReaderSize(source, connection.bufferBytes+maxHeadBytes)
 }
 
 // shrinkBuffer replaces a read buffer that grew and is empty by one of the usual size.
 func (connection *connection) shrinkBuffer() {
-	if connection.reader.Size() > readBufferBytes && connection.reader.Buffered() == 0 {
-		connection.reader = bufio.NewReaderSize(connection.bounded, readBufferBytes)
+	if connection.reader.Size() > connection.bufferBytes && connection.reader.Buffered() == 0 {
+		connection.reader = bufio.NewReaderSize(connection.bounded, connection.bufferBytes)
 	}
 }
 
--- a/internal/node/upstream/request.go
+++ b/internal/node/upstream/request.go
@@ -58,9 +58,9 @@
 var framingHeaders = []string{"Host", "Content-Length", "Transfer-Encoding", "Trailer"}
 
 // failure maps an error to the end of a run. Nothing was sent if the lease had expired or the
-// connection could not be opened, or broke before the first byte. A stall or a cancelled run, for which the context has a
-// cause, is not a crash, nor is a response that does not resume the stream or has a malformed
-// head. Any other error counts as a crash of the upstream.
+// connection could not be opened, or broke before the first byte. A stall or a cancelled run, for
+// which the context has a cause, is not a crash, nor is a response that does not resume the
+// stream or has a malformed head. Any other error counts as a crash of the upstream.
 func (upstream *Upstream) failure(ctx context.Context, id message.RequestID, err error) event.RunEnded {
 	switch {
 	case errors.Is(err, errLeaseExpired):
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -53,7 +53,9 @@
 const (
 	readBytes      = 32 << 10
 	connectTimeout = 2 * time.Second
-	doneEvent      = "data: [DONE]"
+	// readBufferBytes is small: parts of a body are read past it.
+	readBufferBytes = 4 << 10
+	doneEvent       = "data: [DONE]"
 	// errorEvent is the type of an event that reports an error.
 	errorEvent = "error"
 
@@ -81,7 +83,7 @@
 func New(settings Settings, post func(event.Input)) *Upstream {
 	return &Upstream{
 		settings: settings,
-		client:   exchange.New(exchange.Settings{DialTimeout: connectTimeout}),
+		client:   exchange.New(exchange.Settings{DialTimeout: connectTimeout, ReadBufferBytes: readBufferBytes}),
 		post:     post,
 		cancels:  make(map[message.RequestID]context.CancelFunc),
 		stopped:  make(map[message.RequestID]bool),
--- a/internal/wire/responsehead/fields.go
+++ b/internal/wire/responsehead/fields.go
@@ -7,8 +7,12 @@
 	"strings"
 )
 
-// nameMarks are the bytes of a token beside letters and digits (RFC 9110, section 5.6.2).
-const nameMarks = "!#$%&'*+-.^_`|~"
+// A token consists of letters, digits and nameMarks (RFC 9110, section 5.6.2).
+const (
+	letters   = "abcdefghijklmnopqrstuvwxyz"
+	digits    = "0123456789"
+	nameMarks = "!#$%&'*+-.^_`|~"
+)
 
 // maxQuotedBytes bounds what an error quotes of a name.
 const maxQuotedBytes = 64
@@ -30,17 +34,23 @@
 
 func isToken[Text string | []byte](name Text) bool {
 	for i := range len(name) {
-		if !isTokenByte(name[i]) {
+		if !tokenBytes[name[i]] {
 			return false
 		}
 	}
 	return len(name) > 0
 }
 
-func isTokenByte(char byte) bool {
-	isLetter := char >= 'a' && char <= 'z' || char >= 'A' && char <= 'Z'
-	isDigit := char >= '0' && char <= '9'
-	return isLetter || isDigit || strings.IndexByte(nameMarks, char) >= 0
+// tokenBytes has the bytes that a token may consist of.
+var tokenBytes = newTokenBytes()
+
+func newTokenBytes() (bytes [256]bool) {
+	for _, allowed := range []string{letters, strings.ToUpper(letters), digits, nameMarks} {
+		for i := range len(allowed) {
+			bytes[allowed[i]] = true
+		}
+	}
+	return bytes
 }
 
 // Lines checks the lines of a head as they arrive. The zero value is ready for one head.
