--- a/review/standins-3/case_parts.go
+++ b/review/standins-3/case_parts.go
@@ -41,7 +41,7 @@
 	}
 	play.store.put("op/config", partsConfig())
 	for _, zone := range []string{"maz-a", "maz-b", "maz-c"} {
-		started, err := play.startRunner(bookService, zone, 15*time.Millisecond, func() bool { return false })
+		started, err := play.startRunner(bookService, zone, 15*time.Millisecond, neverLost)
 		if err != nil {
 			return false, err
 		}
--- a/review/standins-3/case_versions.go
+++ b/review/standins-3/case_versions.go
@@ -97,7 +97,8 @@
 		to := client.next(play.entries)
 		client.do(to, sent)
 		first, second := strings.Count(sent.text, "of v1\n"), strings.Count(sent.text, "of v2\n")
-		play.record.add("stream %s from %s: status %d, %d events of v1, %d of v2, seal %s, error %v", sent.id, to.name, sent.status, first, second, sent.seal, sent.err)
+		play.record.add("stream %s from %s: status %d, %d events of v1, %d of v2, seal %s, error %v",
+			sent.id, to.name, sent.status, first, second, sent.seal, sent.err)
 		mutex.Lock()
 		defer mutex.Unlock()
 		streams = append(streams, sent)
--- a/review/standins-3/engine.go
+++ b/review/standins-3/engine.go
@@ -31,7 +31,6 @@
 	prefill sync.Mutex
 	slots   chan struct{}
 	inside  atomic.Int64
-	running atomic.Int64
 	// broken counts the requests that the latest crash broke off.
 	broken atomic.Int64
 }
--- a/review/standins-3/entry.go
+++ b/review/standins-3/entry.go
@@ -31,6 +31,7 @@
 	front   string
 	ready   string
 	control string
+	seeds   string
 	dir     string
 	log     *os.File
 	command *exec.Cmd
@@ -38,6 +39,8 @@
 	stopped atomic.Bool
 	exited  chan struct{}
 	peakKB  atomic.Int64
+	// startedAt is when the process was started last.
+	startedAt time.Time
 }
 
 // startEntries starts the entries of a small deployment and waits until all are ready.
@@ -101,13 +104,20 @@
 	if entry.dir, err = os.MkdirTemp("", "review-3-"); err != nil {
 		return err
 	}
-	settings := filepath.Join(entry.dir, "local.toml")
-	if err := os.WriteFile(settings, []byte(entry.settings(play.store.address, seeds)), 0o600); err != nil {
+	if entry.log, err = os.Create(filepath.Join(entry.dir, "log")); err != nil {
 		return err
 	}
-	if entry.log, err = os.Create(filepath.Join(entry.dir, "log")); err != nil {
+	entry.seeds = seeds
+	return entry.startProcess(play, true)
+}
+
+// startProcess starts the process. Bootstrap is true if the whole system starts for the first time.
+func (entry *entry) startProcess(play *play, bootstrap bool) error {
+	settings := filepath.Join(entry.dir, "local.toml")
+	if err := os.WriteFile(settings, []byte(entry.settings(play.store.address, bootstrap)), 0o600); err != nil {
 		return err
 	}
+	entry.stopped.Store(false)
 	entry.command = exec.Command(program, "platform-entry", "--metrics-port", metricsPort)
 	entry.command.Env = []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ENDIVEPOST_SECRET=entries-of-one-fleet", "ENDIVEPOST_NODE_FILE=" + settings,
@@ -116,35 +126,36 @@
 	if err := entry.command.Start(); err != nil {
 		return err
 	}
+	entry.startedAt = time.Now()
 	entry.exited = make(chan struct{})
-	go entry.await(play)
-	go entry.watchMemory()
+	go entry.await(play, entry.command, entry.exited)
+	go entry.watchMemory(entry.command.Process.Pid, entry.exited)
 	return nil
 }
 
-func (entry *entry) await(play *play) {
-	err := entry.command.Wait()
+func (entry *entry) await(play *play, command *exec.Cmd, exited chan struct{}) {
+	err := command.Wait()
 	if !entry.stopped.Load() {
 		entry.ended.Store(true)
 		play.record.say("%s ended by itself: %v", entry.name, err)
 	}
-	close(entry.exited)
+	close(exited)
 }
 
 // watchMemory keeps the largest resident memory of the process.
-func (entry *entry) watchMemory() {
+func (entry *entry) watchMemory(pid int, exited chan struct{}) {
 	for {
 		select {
-		case <-entry.exited:
+		case <-exited:
 			return
 		case <-time.After(100 * time.Millisecond):
-			entry.peakKB.Store(max(entry.peakKB.Load(), entry.readPeakKB()))
+			entry.peakKB.Store(max(entry.peakKB.Load(), readPeakKB(pid)))
 		}
 	}
 }
 
-func (entry *entry) readPeakKB() int64 {
-	file, err := os.Open(filepath.Join("/proc", strconv.Itoa(entry.command.Process.Pid), "status"))
+func readPeakKB(pid int) int64 {
+	file, err := os.Open(filepath.Join("/proc", strconv.Itoa(pid), "status"))
 	if err != nil {
 		return 0
 	}
@@ -173,21 +184,26 @@
 	return fmt.Errorf("%s is not ready after %s", entry.name, limit)
 }
 
+// kill kills the process.
+func (entry *entry) kill() {
+	entry.stopped.Store(true)
+	_ = entry.command.Process.Signal(syscall.SIGKILL)
+	<-entry.exited
+}
+
 // stop kills the process and removes its files.
 func (entry *entry) stop() {
 	if entry.command == nil || entry.command.Process == nil {
 		return
 	}
-	entry.stopped.Store(true)
-	_ = entry.command.Process.Signal(syscall.SIGKILL)
-	<-entry.exited
+	entry.kill()
 	_ = entry.log.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(entry.dir)
 	}
 }
 
-func (entry *entry) settings(storeAddress, seeds string) string {
+func (entry *entry) settings(storeAddress string, bootstrap bool) string {
 	host, _, _ := net.SplitHostPort(entry.front)
 	return fmt.Sprintf(`node_name = %q
 role = "entry"
@@ -198,7 +214,7 @@
 region = "mazowsze"
 port_range = [7340,7355]
 seed_nodes = [%s]
-bootstrap = true
+bootstrap = %t
 fault_counted = false
 discovery = "platform"
 entry = "vip"
@@ -251,6 +267,6 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, entry.name, host, strings.TrimSuffix(strings.TrimPrefix(entry.name, "front-"), "-1"), seeds,
+`, entry.name, host, strings.TrimSuffix(strings.TrimPrefix(entry.name, "front-"), "-1"), entry.seeds, bootstrap,
 		entry.front, entry.ready, entry.control, memoryMB, maxFDs, storeAddress)
 }
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(*play) (bool, error){
 	"parts":    playParts,
 	"versions": playVersions,
+	"takeups":  playTakeUps,
 }
 
 func main() {
--- a/review/standins-3/record.go
+++ b/review/standins-3/record.go
@@ -17,7 +17,7 @@
 }
 
 func newRecord(path string) (*record, error) {
-	file, err := os.Create(path)
+	file, err := os.Create(path) //nolint:gosec // run.sh names the file
 	if err != nil {
 		return nil, err
 	}
--- a/review/standins-3/runner.go
+++ b/review/standins-3/runner.go
@@ -56,6 +56,9 @@
 	return started, nil
 }
 
+// neverLost is for a runner that loses no answers.
+func neverLost() bool { return false }
+
 func randomID() string {
 	var bytes [8]byte
 	_, _ = rand.Read(bytes[:])
@@ -162,17 +165,6 @@
 	_ = conn.Close()
 }
 
-// counts returns how many requests ran, how often the one that ran most did, and how many
-// answers were lost.
-func (runner *runner) counts() (requests, most, lost int) {
-	runner.mutex.Lock()
-	defer runner.mutex.Unlock()
-	for _, runs := range runner.ran {
-		most = max(most, runs)
-	}
-	return len(runner.ran), most, runner.lost
-}
-
 func (runner *runner) stop() {
 	close(runner.ended)
 	_ = runner.server.Close()
