--- a/review/standins-3/case_parts.go
+++ b/review/standins-3/case_parts.go
@@ -36,7 +36,7 @@
 
 func playParts(play *play) (bool, error) {
 	var err error
-	if play.store, err = newStore("127.0.0.1"); err != nil {
+	if play.store, err = newStore(); err != nil {
 		return false, err
 	}
 	play.store.put("op/config", partsConfig())
@@ -55,7 +55,7 @@
 		}
 		engines = append(engines, started)
 	}
-	if err := play.startEntries(4); err != nil {
+	if err := play.startEntries(); err != nil {
 		return false, err
 	}
 	go play.crashEngines(engines)
--- a/review/standins-3/case_takeups.go
+++ b/review/standins-3/case_takeups.go
@@ -28,7 +28,7 @@
 
 func playTakeUps(play *play) (bool, error) {
 	var err error
-	if play.store, err = newStore("127.0.0.1"); err != nil {
+	if play.store, err = newStore(); err != nil {
 		return false, err
 	}
 	play.store.put("op/config", partsConfig())
@@ -39,7 +39,7 @@
 		}
 		started.events, started.eventGap = longEvents, longDelay
 	}
-	if err := play.startEntries(4); err != nil {
+	if err := play.startEntries(); err != nil {
 		return false, err
 	}
 	begin := time.Now()
--- a/review/standins-3/case_versions.go
+++ b/review/standins-3/case_versions.go
@@ -27,7 +27,7 @@
 
 func playVersions(play *play) (bool, error) {
 	var err error
-	if play.store, err = newStore("127.0.0.1"); err != nil {
+	if play.store, err = newStore(); err != nil {
 		return false, err
 	}
 	play.store.put("op/config", partsConfig())
@@ -40,7 +40,7 @@
 		started.events = longEvents
 		engines = append(engines, started)
 	}
-	if err := play.startEntries(4); err != nil {
+	if err := play.startEntries(); err != nil {
 		return false, err
 	}
 	begin := time.Now()
--- a/review/standins-3/entry.go
+++ b/review/standins-3/entry.go
@@ -20,6 +20,7 @@
 	// program is started as the deploy file says: below the repository's root, with these words.
 	program     = "target/endivepost"
 	metricsPort = "9464"
+	entryCount  = 4
 	// memoryMB and maxFDs are the limits of a small entry machine.
 	memoryMB = 284
 	maxFDs   = 4100
@@ -44,9 +45,9 @@
 }
 
 // startEntries starts the entries of a small deployment and waits until all are ready.
-func (play *play) startEntries(count int) error {
+func (play *play) startEntries() error {
 	var seeds []string
-	for i := range count {
+	for i := range entryCount {
 		created, err := newEntry(i)
 		if err != nil {
 			return err
@@ -66,7 +67,7 @@
 			return err
 		}
 	}
-	play.record.add("%d entries are ready", count)
+	play.record.add("%d entries are ready", entryCount)
 	return nil
 }
 
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -26,6 +26,7 @@
 	"parts":    playParts,
 	"versions": playVersions,
 	"takeups":  playTakeUps,
+	"routes":   playRoutes,
 }
 
 func main() {
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -35,8 +35,8 @@
 	Removed  bool   `json:"removed,omitempty"`
 }
 
-func newStore(host string) (*store, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+func newStore() (*store, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
