Show streams joined across versions after idle engines restart in an outage of the store

Cause: while the list cannot be read, an upstream counts as one of the build listed last unless a connection to it broke; one that restarts while idle leaves no such trace.

--- a/review/standins-3/case_parts.go
+++ b/review/standins-3/case_parts.go
@@ -72,6 +72,10 @@
 				"name": "r-note", "hostname": hostName, "prefix": "/note/", "kind": "streaming", "timeout_ms": 10000, "target_latency_ms": 300,
 				"priority": 0, "service": modelService, "max_attempts": 2, "public": true, "sticky": true, "stream_resume": true, "gap_aim_ms": 200,
 			},
+			{
+				"name": "r-plan", "hostname": hostName, "prefix": "/plan/", "kind": "streaming", "timeout_ms": 8000, "target_latency_ms": 1500,
+				"priority": 2, "service": modelService, "max_attempts": 2, "public": true, "sticky": true, "stream_resume": true, "gap_aim_ms": 800,
+			},
 			{
 				"name": "r-book", "hostname": hostName, "prefix": "/book/", "kind": "unsafe", "timeout_ms": bookTimeout.Milliseconds(),
 				"target_latency_ms": 150, "priority": 2, "service": bookService, "max_attempts": 1, "public": false, "sticky": false,
--- a/review/standins-3/case_routes.go
+++ b/review/standins-3/case_routes.go
@@ -14,7 +14,7 @@
 const (
 	// changes configurations come, one at each changeGap. Each has newRoutes routes that no other had.
 	changes      = 46
-	changeGap    = 1500 * time.Millisecond
+	changeGap    = time.Second
 	newRoutes    = 390
 	requestGap   = time.Millisecond
 	applied      = 300 * time.Millisecond
--- a/review/standins-3/case_versions.go
+++ b/review/standins-3/case_versions.go
@@ -91,8 +91,8 @@
 	time.Sleep(time.Until(begin.Add(streamsAt)))
 	every(15*time.Millisecond, streamsFor, func() {
 		sent := &call{
-			id: randomID(), method: "POST", path: "/note/" + randomID(), patience: 10 * time.Second, body: "note",
-			header: map[string]string{"X-Prompt-Prefix": "5c1e07a2:300," + randomID()[:8] + ":200", "X-Token-Usage": "500,600", "X-Model": "m"},
+			id: randomID(), method: "POST", path: "/plan/" + randomID(), patience: 8 * time.Second, body: "plan",
+			header: map[string]string{"X-Prompt-Prefix": randomID()[:8] + ":300," + randomID()[:8] + ":200", "X-Token-Usage": "500,600", "X-Model": "m"},
 		}
 		to := client.next(play.entries)
 		client.do(to, sent)
--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -35,10 +35,6 @@
 
 	sentAt time.Time
 	took   time.Duration
-	// leaveAt is when the client closes its connection, zero if it does not.
-	leaveAt time.Time
-	// ended is closed once the answer has ended, nil if nobody waits for that.
-	ended chan struct{}
 	// status is 0 without an answer in that time.
 	status int
 	seal   string
@@ -52,11 +48,6 @@
 func (client *client) do(to *entry, call *call) {
 	ctx, cancel := context.WithTimeout(context.Background(), call.patience)
 	defer cancel()
-	if !call.leaveAt.IsZero() {
-		var leave context.CancelFunc
-		ctx, leave = context.WithDeadline(ctx, call.leaveAt)
-		defer leave()
-	}
 	call.sentAt = time.Now()
 	defer func() { call.took = time.Since(call.sentAt) }()
 	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+to.front+call.path, strings.NewReader(call.body))
@@ -80,9 +71,6 @@
 	call.status, call.seal, call.text, call.err = response.StatusCode, response.Header.Get("X-Server-Seal"), string(body), err
 }
 
-// events returns the number of whole events in the answer.
-func (call *call) events() int { return strings.Count(call.text, "\n\n") }
-
 // next returns the entry for the next request, each in turn.
 func (client *client) next(entries []*entry) *entry {
 	client.mutex.Lock()
--- a/review/standins-3/entry.go
+++ b/review/standins-3/entry.go
@@ -21,6 +21,7 @@
 	program     = "target/endivepost"
 	metricsPort = "9464"
 	entryCount  = 4
+	zoneCount   = 3
 	// memoryMB and maxFDs are the limits of a small entry machine.
 	memoryMB = 284
 	maxFDs   = 4100
@@ -40,8 +41,6 @@
 	stopped atomic.Bool
 	exited  chan struct{}
 	peakKB  atomic.Int64
-	// startedAt is when the process was started last.
-	startedAt time.Time
 }
 
 // startEntries starts the entries of a small deployment and waits until all are ready.
@@ -80,7 +79,7 @@
 			continue
 		}
 		_ = metrics.Close()
-		created := &entry{name: fmt.Sprintf("front-maz-%c-1", 'a'+number)}
+		created := &entry{name: fmt.Sprintf("front-maz-%c-%d", 'a'+number%zoneCount, 1+number/zoneCount)}
 		for _, address := range []*string{&created.front, &created.ready, &created.control} {
 			if *address, err = freeAddress(host); err != nil {
 				return nil, err
@@ -109,16 +108,10 @@
 		return err
 	}
 	entry.seeds = seeds
-	return entry.startProcess(play, true)
-}
-
-// startProcess starts the process. Bootstrap is true if the whole system starts for the first time.
-func (entry *entry) startProcess(play *play, bootstrap bool) error {
 	settings := filepath.Join(entry.dir, "local.toml")
-	if err := os.WriteFile(settings, []byte(entry.settings(play.store.address, bootstrap)), 0o600); err != nil {
+	if err := os.WriteFile(settings, []byte(entry.settings(play.store.address)), 0o600); err != nil {
 		return err
 	}
-	entry.stopped.Store(false)
 	entry.command = exec.Command(program, "platform-entry", "--metrics-port", metricsPort)
 	entry.command.Env = []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ENDIVEPOST_SECRET=entries-of-one-fleet", "ENDIVEPOST_NODE_FILE=" + settings,
@@ -127,7 +120,6 @@
 	if err := entry.command.Start(); err != nil {
 		return err
 	}
-	entry.startedAt = time.Now()
 	entry.exited = make(chan struct{})
 	go entry.await(play, entry.command, entry.exited)
 	go entry.watchMemory(entry.command.Process.Pid, entry.exited)
@@ -204,7 +196,12 @@
 	}
 }
 
-func (entry *entry) settings(storeAddress string, bootstrap bool) string {
+// zone returns the zone of the machine.
+func (entry *entry) zone() string {
+	return strings.Join(strings.Split(entry.name, "-")[1:3], "-")
+}
+
+func (entry *entry) settings(storeAddress string) string {
 	host, _, _ := net.SplitHostPort(entry.front)
 	return fmt.Sprintf(`node_name = %q
 role = "entry"
@@ -215,7 +212,7 @@
 region = "mazowsze"
 port_range = [7340,7355]
 seed_nodes = [%s]
-bootstrap = %t
+bootstrap = true
 fault_counted = false
 discovery = "platform"
 entry = "vip"
@@ -268,6 +265,6 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, entry.name, host, strings.TrimSuffix(strings.TrimPrefix(entry.name, "front-"), "-1"), entry.seeds, bootstrap,
+`, entry.name, host, entry.zone(), entry.seeds,
 		entry.front, entry.ready, entry.control, memoryMB, maxFDs, storeAddress)
 }
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -25,7 +27,6 @@
 var cases = map[string]func(*play) (bool, error){
 	"parts":    playParts,
 	"versions": playVersions,
-	"takeups":  playTakeUps,
 	"routes":   playRoutes,
 }
 
@@ -45,6 +46,13 @@
 	}
 	defer written.close()
 	current := &play{record: written, trouble: os.Getenv("TROUBLE") != "0", started: written.started}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		current.stop()
+		os.Exit(2)
+	}()
 	broken, err := cases[args[0]](current)
 	current.stop()
 	switch {
